--- /dev/null
+++ b/crates/core/src/fresh.rs
@@ -0,0 +1,77 @@
+//! How old a replica's answer is.
+//!
+//! An answer of the primary to a question sent at time *s* shows a position *p*: everything acknowledged
+//! before *s* stands at or before *p*. A replica that has applied *p* is therefore as fresh as *s*, if
+//! the primary was still the primary then, which a majority confirms by naming the same term in answers
+//! to questions sent at *s* or later. Only this instance's monotonic clock is used.
+
+use {
+    crate::Time,
+    pondtrack_proto::{Lsn, Term},
+    std::collections::VecDeque,
+};
+
+/// Observations kept; at one every 50 ms they reach back about a minute.
+const KEPT: usize = 1_200;
+
+/// The evidence of one group's freshness.
+#[derive(Clone, Debug)]
+pub struct Freshness {
+    quorum: usize,
+    term: Term,
+    seen: VecDeque<(Time, Lsn)>,
+    confirmed: Vec<Option<Time>>,
+}
+
+impl Freshness {
+    /// No evidence yet.
+    pub fn new(servers: usize, quorum: usize) -> Freshness {
+        Freshness { quorum, term: Term(0), seen: VecDeque::new(), confirmed: vec![None; servers] }
+    }
+
+    /// A server named `term` in the answer to a question sent at `sent`.
+    pub fn confirm(&mut self, server: usize, term: Term, sent: Time) {
+        if term > self.term {
+            self.term = term;
+            self.confirmed.fill(None);
+            self.seen.clear();
+        }
+        if term == self.term {
+            let it = &mut self.confirmed[server];
+            *it = Some(it.map_or(sent, |old| old.max(sent)));
+        }
+    }
+
+    /// The primary of `term` showed the position `lsn` in the answer to a question sent at `sent`.
+    pub fn observe(&mut self, term: Term, lsn: Lsn, sent: Time) {
+        if term != self.term || self.seen.back().is_some_and(|it| it.0 > sent) {
+            return;
+        }
+        match self.seen.back_mut() {
+            // The same position seen later makes what holds it fresher.
+            Some(it) if it.1 == lsn => it.0 = sent,
+            _ => self.seen.push_back((sent, lsn)),
+        }
+        if self.seen.len() > KEPT {
+            self.seen.pop_front();
+        }
+    }
+
+    /// The time as of which a server of `term` that has applied `applied` is complete.
+    pub fn as_of(&self, term: Term, applied: Lsn) -> Option<Time> {
+        if term != self.term {
+            return None;
+        }
+        let confirmed = self.confirmed_at()?;
+        let n = self.seen.partition_point(|it| it.1 <= applied);
+        let usable = self.seen.iter().take(n).rev();
+        usable.map(|it| it.0).find(|at| *at <= confirmed)
+    }
+
+    /// The latest time at or after which a majority is known to have held the term.
+    fn confirmed_at(&self) -> Option<Time> {
+        let mut times: Vec<Time> = self.confirmed.iter().flatten().copied().collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(self.quorum - 1).copied()
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate.rs
@@ -0,0 +1,99 @@
+//! Acknowledgements wait until a majority has received what they stand for.
+//!
+//! A server counts for a position when the last entry of its log was written in the gate's term and
+//! stands at or after it. Entries of a term come from that term's primary only, so such a log holds
+//! everything before its last entry exactly as the primary does. Any later promotion fences a majority,
+//! which shares a server with the one counted here, and takes the highest log among it.
+
+use pondtrack_proto::{Lsn, Mark, Term};
+
+/// Names a held acknowledgement; unique for the life of a gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// What becomes of an acknowledgement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// It may go out.
+    Open,
+    /// It waits under this ticket.
+    Wait(Ticket),
+    /// Its term is over; whether it lasts has to be asked of the next primary.
+    Broken,
+}
+
+/// The gate of one group.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Gate {
+    quorum: usize,
+    term: Term,
+    logs: Vec<Mark>,
+    held: Vec<(Lsn, Ticket)>,
+    next: u64,
+}
+
+impl Gate {
+    /// A gate over `servers` servers, of which `quorum` make a majority.
+    pub fn new(servers: usize, quorum: usize) -> Gate {
+        Gate { quorum, term: Term(0), logs: vec![Mark::default(); servers], held: Vec::new(), next: 0 }
+    }
+
+    /// The term whose commits it lets out.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Acknowledgements held.
+    pub fn waiting(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Moves to a higher term; hands back the tickets that are now broken.
+    pub fn begin(&mut self, term: Term) -> Vec<Ticket> {
+        if term <= self.term {
+            return Vec::new();
+        }
+        self.term = term;
+        self.held.drain(..).map(|it| it.1).collect()
+    }
+
+    /// Takes note of the last entry of a server's log; hands back the tickets that may go out.
+    pub fn observe(&mut self, server: usize, last: Mark) -> Vec<Ticket> {
+        let known = &mut self.logs[server];
+        // Answers on several connections overtake each other; within a term a log only grows.
+        if last.term != known.term || last.lsn > known.lsn {
+            *known = last;
+        }
+        let durable = self.durable();
+        let n = self.held.partition_point(|it| it.0 <= durable);
+        self.held.drain(..n).map(|it| it.1).collect()
+    }
+
+    /// The highest position of the term that a majority holds; 0 when there is none.
+    pub fn durable(&self) -> Lsn {
+        let mut in_term: Vec<Lsn> =
+            self.logs.iter().filter(|it| it.term == self.term).map(|it| it.lsn).collect();
+        in_term.sort_unstable_by(|a, b| b.cmp(a));
+        in_term.get(self.quorum - 1).copied().unwrap_or_default()
+    }
+
+    /// Asks to acknowledge what the primary of `term` wrote up to `lsn`.
+    pub fn hold(&mut self, term: Term, lsn: Lsn) -> Verdict {
+        if term < self.term {
+            return Verdict::Broken;
+        }
+        if term == self.term && lsn <= self.durable() && lsn > Lsn(0) {
+            return Verdict::Open;
+        }
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        let at = self.held.partition_point(|it| it.0 <= lsn);
+        self.held.insert(at, (lsn, ticket));
+        Verdict::Wait(ticket)
+    }
+
+    /// Forgets an acknowledgement nobody waits for any longer.
+    pub fn forget(&mut self, ticket: Ticket) {
+        self.held.retain(|it| it.1 != ticket);
+    }
+}
--- /dev/null
+++ b/crates/core/src/grant.rs
@@ -0,0 +1,64 @@
+//! Terms taken ahead of need.
+//!
+//! The group's record on the platform gives out each term once, in blocks. A home keeps a block, so that
+//! a failover needs no platform call and several are possible while the platform is down. Two holders
+//! never have the same term; of two that race, the servers refuse the lower.
+
+use pondtrack_proto::{Term, TermRecord};
+
+/// Terms in one block.
+pub const BLOCK: u64 = 16;
+/// A holder asks for another block when fewer usable terms than this are left.
+const LOW: u64 = 8;
+
+/// The terms one instance may promote with.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Grants {
+    blocks: Vec<(Term, Term)>,
+}
+
+impl Grants {
+    /// Adds a block: the terms from `first` up to, without, `end`.
+    pub fn add(&mut self, first: Term, end: Term) {
+        self.blocks.push((first, end));
+        self.blocks.sort_unstable();
+    }
+
+    /// Takes the lowest granted term above `known`; it is never handed out again.
+    pub fn take(&mut self, known: Term) -> Option<Term> {
+        self.forget(known);
+        let block = self.blocks.first_mut()?;
+        let term = block.0;
+        block.0 = Term(term.0 + 1);
+        self.forget(known);
+        Some(term)
+    }
+
+    /// Drops terms that are no longer of use.
+    pub fn forget(&mut self, known: Term) {
+        for it in &mut self.blocks {
+            it.0 = it.0.max(Term(known.0 + 1));
+        }
+        self.blocks.retain(|it| it.0 < it.1);
+    }
+
+    /// How many usable terms are left.
+    pub fn left(&self) -> u64 {
+        self.blocks.iter().map(|it| it.1.0 - it.0.0).sum()
+    }
+
+    /// Whether another block should be asked for.
+    pub fn is_low(&self) -> bool {
+        self.left() < LOW
+    }
+}
+
+/// The record after giving out one more block above `known`, and the block.
+///
+/// `change` names this change, so that its writer recognises it after a lost answer.
+pub fn give(record: &TermRecord, known: Term, change: u64) -> (TermRecord, (Term, Term)) {
+    let first = Term(record.next.0.max(record.term.0 + 1).max(known.0 + 1));
+    let end = Term(first.0 + BLOCK);
+    let next = TermRecord { next: end, change, ..record.clone() };
+    (next, (first, end))
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,56 @@
+//! Decisions of pondtrack, free of I/O.
+//!
+//! Time is passed in as milliseconds of a local monotonic clock, randomness comes from a seed, and what
+//! has to be done is handed back to the caller. The same code runs in `pondtrackd`, under seeded
+//! schedules and in the model checker.
+//!
+//! What must hold:
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | [`gate`] | acknowledgements wait for a majority |
+//! | [`switch`] | fencing a majority and promoting one server |
+//! | [`grant`] | terms taken ahead of need |
+//! | [`detect`] | when a primary is given up |
+//! | [`fresh`] | how old a replica's answer is |
+//! | [`request_key`] | keys of requests that run once at most |
+//! | [`token`] | what a session carries between instances |
+//!
+//! What makes it fast, fair and bounded:
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | [`classify`] | what a statement needs |
+//! | [`route`] | which server answers a read |
+//! | [`place`] | home instances and their shares of connections |
+//! | [`admit`] | queues, fairness and learned limits |
+//! | [`retry`] | budgets and backoff |
+//! | [`member`] | probes, suspicion, incarnations |
+//! | [`spread`] | versioned facts, pushes and digests |
+//! | [`plan`] | from an intent to steps |
+//!
+//! What they share: [`chart`] (state charts read from files), [`life`] (those of sessions and connections),
+//! [`timer`], [`journal`].
+
+pub mod admit;
+pub mod chart;
+pub mod classify;
+pub mod detect;
+pub mod fresh;
+pub mod gate;
+pub mod grant;
+pub mod journal;
+pub mod life;
+pub mod member;
+pub mod place;
+pub mod plan;
+pub mod request_key;
+pub mod retry;
+pub mod route;
+pub mod spread;
+pub mod switch;
+pub mod timer;
+pub mod token;
+
+/// Milliseconds of a local monotonic clock.
+pub type Time = u64;
--- /dev/null
+++ b/crates/core/src/place.rs
@@ -0,0 +1,82 @@
+//! Home instances and their shares of connections.
+//!
+//! Each group has one home in each availability zone that holds one of its servers, by rendezvous hashing
+//! over the zone's instances. A join or leave moves only the groups that the instance wins or had.
+
+use {
+    pondtrack_proto::{GroupSpec, MemberState, MemberView, Name},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Most homes of a group.
+pub const MAX_HOMES: usize = 3;
+/// Connections to each server that a home keeps for its own questions and orders.
+pub const CONTROL: u32 = 2;
+
+/// The weight of an instance for a subject; the highest wins.
+pub fn weight(subject: &str, instance: &str) -> u64 {
+    let mut text = String::with_capacity(subject.len() + instance.len() + 1);
+    text.push_str(subject);
+    text.push('\n');
+    text.push_str(instance);
+    xxh3_64(text.as_bytes())
+}
+
+/// Whether an instance takes part in placement. A suspect may refute, so nothing moves for it yet.
+pub fn takes_part(it: &MemberView) -> bool {
+    matches!(it.state, MemberState::Alive | MemberState::Suspect)
+}
+
+/// The instance that wins a subject.
+pub fn winner<'a>(subject: &str, members: impl Iterator<Item = &'a MemberView>) -> Option<&'a MemberView> {
+    members.filter(|it| takes_part(it)).max_by_key(|it| (weight(subject, &it.name), &it.name))
+}
+
+/// The homes of a group, the first one first.
+pub fn homes(spec: &GroupSpec, members: &[MemberView]) -> Vec<Name> {
+    let mut zones: Vec<&Name> = spec.servers.iter().map(|it| &it.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    let in_zone = |zone: &&Name| winner(&spec.name, members.iter().filter(|it| it.zone == **zone));
+    let mut out: Vec<&MemberView> = zones.iter().filter_map(in_zone).collect();
+    if out.is_empty() {
+        // No instance lives beside a server; any will do.
+        out.extend(winner(&spec.name, members.iter()));
+    }
+    out.sort_by_key(|it| (std::cmp::Reverse(weight(&spec.name, &it.name)), it.name.clone()));
+    out.truncate(MAX_HOMES);
+    out.into_iter().map(|it| it.name.clone()).collect()
+}
+
+/// The order in which an instance in `zone` tries the homes: its own zone's first.
+pub fn preferred(homes: &[Name], members: &[MemberView], zone: &str) -> Vec<Name> {
+    let near = |it: &Name| find(members, it).is_some_and(|m| m.zone == zone);
+    let mut out = homes.to_vec();
+    out.sort_by_key(|it| !near(it));
+    out
+}
+
+/// Finds a member by name in a sorted list.
+pub fn find<'a>(members: &'a [MemberView], name: &str) -> Option<&'a MemberView> {
+    let at = members.binary_search_by(|it| it.name.as_str().cmp(name)).ok()?;
+    Some(&members[at])
+}
+
+/// How many connections the home of `rank` out of `homes` may open to each server for callers' work.
+///
+/// The shares of all homes and their control connections never add up to more than `limit`.
+pub fn share(limit: u32, homes: usize, rank: usize) -> u32 {
+    let n = homes.max(1) as u32;
+    let usable = limit.saturating_sub(n * CONTROL);
+    let extra = u32::from((rank as u32) < usable % n);
+    usable / n + extra
+}
+
+/// The few instances that hold the platform's watches: one in each availability zone.
+pub fn watchers(members: &[MemberView]) -> Vec<Name> {
+    let mut zones: Vec<&Name> = members.iter().map(|it| &it.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    let in_zone = |zone: &&Name| winner("watch", members.iter().filter(|it| it.zone == **zone));
+    zones.iter().filter_map(in_zone).map(|it| it.name.clone()).collect()
+}
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,66 @@
+//! Budgets and backoff of retries.
+//!
+//! Retries happen in one layer, at the home, and only for what is provably unrun. Each success earns a
+//! share of a retry, so that retries can't multiply load when most requests fail.
+
+use rand::RngExt;
+
+/// A share of a retry earned by each success.
+const EARNED: f64 = 0.2;
+/// Most retries saved up.
+const MOST: f64 = 50.0;
+
+/// A budget of retries.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    saved: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Budget {
+        Budget { saved: MOST }
+    }
+}
+
+impl Budget {
+    /// A request succeeded.
+    pub fn earn(&mut self) {
+        self.saved = (self.saved + EARNED).min(MOST);
+    }
+
+    /// Takes one retry if there is one.
+    pub fn spend(&mut self) -> bool {
+        let has = self.saved >= 1.0;
+        if has {
+            self.saved -= 1.0;
+        }
+        has
+    }
+}
+
+/// Exponential backoff with full jitter.
+#[derive(Clone, Debug)]
+pub struct Backoff {
+    base: u64,
+    cap: u64,
+    step: u32,
+}
+
+impl Backoff {
+    /// Waits of at most `base` milliseconds first and `cap` milliseconds in the end.
+    pub fn new(base: u64, cap: u64) -> Backoff {
+        Backoff { base, cap, step: 0 }
+    }
+
+    /// The next wait, in milliseconds.
+    pub fn next(&mut self, rng: &mut impl rand::Rng) -> u64 {
+        let top = self.base.saturating_mul(1 << self.step.min(16)).min(self.cap).max(1);
+        self.step += 1;
+        rng.random_range(top / 2..=top)
+    }
+
+    /// Begins anew after a success.
+    pub fn reset(&mut self) {
+        self.step = 0;
+    }
+}
--- /dev/null
+++ b/crates/pondtrack/src/main.rs
@@ -0,0 +1,2 @@
+//! The program `pondtrack`: the operator's command line.
+fn main() {}
--- /dev/null
+++ b/crates/pondtrackd/src/home/failover.rs
@@ -0,0 +1,320 @@
+//! Detecting a lost primary, fencing a majority, promoting a server, and taking old ones back.
+
+use {
+    super::{Home, ORDER_LIMIT},
+    crate::{keeper, node::Node, telemetry::Count},
+    pondtrack_core::{
+        Time,
+        detect::{Cause, Opinion},
+        switch::{Action, Switch, SwitchState},
+    },
+    pondtrack_edge::contract::{Order, Position, Role},
+    pondtrack_proto::{Mark, Name, PeerMsg, Term},
+    std::{rc::Rc, time::Duration},
+    tokio::{
+        sync::mpsc,
+        time::{sleep, timeout},
+    },
+};
+
+/// Between two looks at a group.
+const LOOK: Duration = Duration::from_millis(25);
+/// Time for a whole change of primary.
+const SWITCH_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time for the opinions of other homes.
+const OPINION_LIMIT: Duration = Duration::from_millis(150);
+/// Wait after a change of primary that failed or was spoken against.
+const AGAIN: u64 = 200;
+/// Time for which a server may stand apart before it is told whom to follow, per rank of the home.
+const APART: u64 = 300;
+/// Time for which a server may know a higher term than the primary before the primary is renewed.
+const ABOVE: u64 = 1_500;
+
+/// What an order of a switch brought.
+enum Outcome {
+    Position(usize, Action, Position),
+    Refused,
+    Lost(Action),
+}
+
+/// Looks after a group for the life of its home.
+pub async fn run(node: Rc<Node>, home: Rc<Home>) {
+    let mut quiet_until: Time = 0;
+    let mut apart: Vec<Option<Time>> = vec![None; home.servers.len()];
+    let mut absent = None;
+    while !home.closing.get() {
+        sleep(LOOK).await;
+        let now = node.now();
+        if home.detector.borrow_mut().look(now) {
+            node.count(Count::Pauses);
+            forget_evidence(&home, now);
+            absent = None;
+            continue;
+        }
+        if home.primary().is_some() && home.primary_is_near(&node) {
+            home.found(&node);
+        } else if home.lost.get().is_none() {
+            home.lost.set(Some(now));
+        }
+        absent = home.primary().is_none().then(|| absent.unwrap_or(now));
+        take_back(&node, &home, &mut apart);
+        if now < quiet_until || home.switching.get() || home.held.get().is_some_and(|it| it > now) {
+            continue;
+        }
+        let Some(cause) = judge(&node, &home, now, absent, &apart) else { continue };
+        let primary = home.primary();
+        let prefer = match cause {
+            Cause::Absent => None,
+            _ => None.or(renewed(&home, cause)),
+        };
+        if let (Cause::Silent | Cause::Refused, Some(server)) = (cause, primary) {
+            let opinions = ask_others(&node, &home, server).await;
+            if home.detector.borrow().is_vetoed(cause, &opinions) {
+                node.count(Count::Vetoes);
+                let evidence = format!("{cause}; others: {opinions:?}");
+                node.decide(&home.group, "the primary is kept: another home hears it", evidence);
+                quiet_until = node.now() + AGAIN;
+                continue;
+            }
+        }
+        let evidence = evidence(&node, &home, cause);
+        node.decide(&home.group, format!("the primary is given up: {cause}"), evidence);
+        if let Err(why) = change(&node, &home, prefer).await {
+            node.decide(&home.group, "the change of primary failed", why);
+        }
+        quiet_until = node.now() + AGAIN;
+    }
+}
+
+/// After a pause of this instance nothing it heard before says anything.
+fn forget_evidence(home: &Home, now: Time) {
+    for it in &home.servers {
+        let mut view = it.view.borrow_mut();
+        view.heard.refused = view.heard.refused.map(|_| now);
+        view.heard.last = view.heard.last.map(|_| now);
+    }
+    if home.stalled.get().is_some() {
+        home.stalled.set(Some(now));
+    }
+}
+
+fn judge(node: &Node, home: &Home, now: Time, absent: Option<Time>, apart: &[Option<Time>]) -> Option<Cause> {
+    let reachable = home.servers.iter().filter(|it| it.view.borrow().heard.refused.is_none()).count();
+    if reachable < home.spec.borrow().majority() {
+        // Without a majority nothing can be fenced.
+        return None;
+    }
+    let primary = home.primary();
+    let heard = primary.map(|n| home.servers[n].view.borrow().heard);
+    let rank = home.rank.get();
+    let cause = home.detector.borrow().judge(now, rank, heard.as_ref(), absent, home.stalled.get());
+    // A server above the primary's term can't rejoin; the primary is renewed in a higher one.
+    let term = primary.and_then(|n| home.servers[n].view.borrow().position).map(|it| it.term);
+    let stranded = (0..home.servers.len()).any(|n| {
+        let above = home.servers[n].view.borrow().position.map(|it| it.term) > term;
+        above && apart[n].is_some_and(|at| now.saturating_sub(at) > ABOVE * (1 + rank as u64))
+    });
+    cause
+        .or((term.is_some() && stranded).then_some(Cause::Absent))
+        .filter(|_| !node.leaving.get() || rank == 0)
+}
+
+/// The server that should stay the primary when its term has to be renewed.
+fn renewed(home: &Home, cause: Cause) -> Option<usize> {
+    match cause {
+        Cause::Absent => home.primary(),
+        _ => None,
+    }
+}
+
+fn evidence(node: &Node, home: &Home, cause: Cause) -> String {
+    let now = node.now();
+    let one = |it: &super::Server| {
+        let view = it.view.borrow();
+        let heard =
+            view.heard.last.map_or("never".to_owned(), |at| format!("{} ms ago", now.saturating_sub(at)));
+        let refused = if view.heard.refused.is_some() { ", refuses connections" } else { "" };
+        let position = view
+            .position
+            .map_or("unknown".to_owned(), |p| format!("{} of term {} at {}", p.role, p.term, p.received));
+        format!("{}: {position}, heard {heard}{refused}", it.spec.borrow().name)
+    };
+    let servers: Vec<String> = home.servers.iter().map(one).collect();
+    let stalled = match (cause, home.stalled.get()) {
+        (Cause::Stalled, Some(at)) => format!("; commits wait since {} ms", now.saturating_sub(at)),
+        _ => String::new(),
+    };
+    format!("{}{stalled}", servers.join("; "))
+}
+
+/// Asks the other homes whether they hear a server.
+async fn ask_others(node: &Rc<Node>, home: &Rc<Home>, server: usize) -> Vec<Opinion> {
+    let spec = home.spec.borrow().clone();
+    let homes = node.homes_of(&spec).homes.clone();
+    let name = spec.servers[server].name.clone();
+    let mut asks = Vec::new();
+    for it in homes.into_iter().filter(|it| *it != node.name) {
+        let (group, server) = (home.group.clone(), name.clone());
+        let node = node.clone();
+        asks.push(async move {
+            let make = |id| PeerMsg::Heard { id, group, server };
+            match node.peers.ask(&node, &it, make, OPINION_LIMIT).await {
+                Some(PeerMsg::HeardReply { ago_ms, stalled, .. }) => {
+                    Some(Opinion { from: it, ago: ago_ms, stalled })
+                }
+                _ => None,
+            }
+        });
+    }
+    futures::future::join_all(asks).await.into_iter().flatten().collect()
+}
+
+/// Changes the primary; `prefer` is taken when its log is as high as any.
+pub async fn change(node: &Rc<Node>, home: &Rc<Home>, prefer: Option<usize>) -> Result<(Term, Name), String> {
+    if home.switching.replace(true) {
+        return Err("another change is under way".to_owned());
+    }
+    node.count(Count::Switches);
+    let out = match timeout(SWITCH_LIMIT, drive(node, home, prefer)).await {
+        Ok(it) => it,
+        Err(_) => Err(format!("not done within {} ms", SWITCH_LIMIT.as_millis())),
+    };
+    home.switching.set(false);
+    home.changed.notify_waiters();
+    if let Ok((term, primary)) = &out {
+        node.count(Count::Promotions);
+        keeper::record_term(node, home, *term, primary);
+    }
+    out
+}
+
+async fn drive(node: &Rc<Node>, home: &Rc<Home>, prefer: Option<usize>) -> Result<(Term, Name), String> {
+    let term = take_term(node, home).await?;
+    let spec = home.spec.borrow().clone();
+    let avoid = (0..spec.servers.len()).filter(|n| spec.servers[*n].draining).collect();
+    let (mut switch, first) = Switch::begin(spec.servers.len(), spec.majority(), term, prefer, avoid);
+    let (send, mut receive) = mpsc::unbounded_channel();
+    perform(node, home, first, &send);
+    while let Some(it) = receive.recv().await {
+        let next = match it {
+            Outcome::Position(server, Action::Fence { .. }, p) => switch.fenced(server, p.term, p.received),
+            Outcome::Position(server, Action::Promote { .. }, p) if p.role == Role::Primary => {
+                switch.promoted(server, p.term)
+            }
+            Outcome::Position(_, _, p) => {
+                switch.refused(p.term);
+                Vec::new()
+            }
+            Outcome::Lost(Action::Promote { .. }) => {
+                switch.lost();
+                Vec::new()
+            }
+            Outcome::Lost(_) => Vec::new(),
+            Outcome::Refused => {
+                switch.refused(home.term());
+                Vec::new()
+            }
+        };
+        perform(node, home, next, &send);
+        match switch.state {
+            SwitchState::Done => return Ok(finish(node, home, &switch)),
+            SwitchState::GivenUp => {
+                return Err(format!("term {term} was overtaken, or the chosen server is lost"));
+            }
+            SwitchState::Fencing | SwitchState::Promoting => {}
+        }
+    }
+    Err("no majority of servers answers".to_owned())
+}
+
+fn finish(node: &Node, home: &Home, switch: &Switch) -> (Term, Name) {
+    let n = switch.chosen.expect("a switch that is done has chosen");
+    let name = home.servers[n].spec.borrow().name.clone();
+    let logs: Vec<String> = switch
+        .fenced
+        .iter()
+        .map(|(n, last): &(usize, Mark)| format!("{} at {last}", home.servers[*n].spec.borrow().name))
+        .collect();
+    let what = format!("{name} is the primary of term {}", switch.term);
+    node.decide(&home.group, what, format!("fenced: {}", logs.join(", ")));
+    (switch.term, name)
+}
+
+/// A term that nobody else has; from those taken ahead, or from the platform when there are none.
+async fn take_term(node: &Rc<Node>, home: &Rc<Home>) -> Result<Term, String> {
+    let known = home.term();
+    if let Some(it) = home.grants.borrow_mut().take(known) {
+        return Ok(it);
+    }
+    keeper::refill(node, home).await.map_err(|e| e.to_string())?;
+    home.grants.borrow_mut().take(known).ok_or_else(|| "no term was granted".to_owned())
+}
+
+/// Starts the orders of a switch; each reports its outcome.
+fn perform(node: &Rc<Node>, home: &Rc<Home>, actions: Vec<Action>, send: &mpsc::UnboundedSender<Outcome>) {
+    for action in actions {
+        let (node, home, send) = (node.clone(), home.clone(), send.clone());
+        tokio::task::spawn_local(async move {
+            let (server, order) = match action {
+                Action::Fence { server, term } => (server, Order::Fence(term)),
+                Action::Promote { server, term } => (server, Order::Promote(term)),
+                Action::Follow { server, term, primary } => {
+                    let addr = home.servers[primary].spec.borrow().addr;
+                    (server, Order::Follow(term, addr))
+                }
+            };
+            let it = match home.order(&node, server, order, ORDER_LIMIT).await {
+                Ok(p) => Outcome::Position(server, action, p),
+                Err(e) if e.is_refusal() => Outcome::Refused,
+                Err(_) => Outcome::Lost(action),
+            };
+            let _ = send.send(it);
+        });
+    }
+}
+
+/// Tells servers that stand apart whom to follow: a fenced one, an old primary, one of an older term.
+fn take_back(node: &Rc<Node>, home: &Rc<Home>, apart: &mut [Option<Time>]) {
+    let Some(primary) = home.primary() else { return };
+    let Some(lead) = home.servers[primary].view.borrow().position else { return };
+    let now = node.now();
+    for (n, apart) in apart.iter_mut().enumerate() {
+        let Some(it) = home.servers[n].view.borrow().position else { continue };
+        let follows = it.role == Role::Replica && it.term == lead.term;
+        if n == primary || follows {
+            *apart = None;
+            continue;
+        }
+        let since = *apart.get_or_insert(now);
+        let patience = APART * home.rank.get() as u64;
+        if it.term > lead.term || now.saturating_sub(since) < patience || home.switching.get() {
+            continue;
+        }
+        *apart = Some(now);
+        let (node, home) = (node.clone(), home.clone());
+        tokio::task::spawn_local(async move { follow(&node, &home, n, primary, lead.term, it).await });
+    }
+}
+
+async fn follow(node: &Rc<Node>, home: &Rc<Home>, n: usize, primary: usize, term: Term, before: Position) {
+    let addr = home.servers[primary].spec.borrow().addr;
+    let name = home.servers[n].spec.borrow().name.clone();
+    if home.order(node, n, Order::Follow(term, addr), ORDER_LIMIT).await.is_err() {
+        return;
+    }
+    let what = format!("{name} follows the primary of term {term}");
+    node.decide(&home.group, what, format!("it was {} of term {}", before.role, before.term));
+    report_dropped(node, home, n, before).await;
+}
+
+/// Says how many entries, acknowledged to nobody, a server had to drop.
+async fn report_dropped(node: &Rc<Node>, home: &Rc<Home>, n: usize, before: Position) {
+    sleep(Duration::from_millis(500)).await;
+    let Ok(after) = home.order(node, n, Order::Position, ORDER_LIMIT).await else { return };
+    if after.dropped > before.dropped {
+        let name = home.servers[n].spec.borrow().name.clone();
+        let what = format!("{name} dropped {} entries on rejoining", after.dropped - before.dropped);
+        let evidence = format!("its log ended at {}; none of them was acknowledged", before.received);
+        node.decide(&home.group, what, evidence);
+    }
+}
