Gate: an entry that came by a later term's primary doesn't count

Cause: the gate counted a server by the term of its last entry alone. Change: a server counts only while it names the gate's own term. Two promoters with two writers at once are not exhausted: too many states for this machine.

--- a/crates/core/src/detect.rs
+++ b/crates/core/src/detect.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::Time,
-    pondtrack_proto::Name,
+    pondtrack_proto::{Name, Term},
     strum::{Display, IntoStaticStr},
 };
 
@@ -58,8 +58,8 @@
 pub struct Opinion {
     /// The home.
     pub from: Name,
-    /// Milliseconds since it heard the primary.
-    pub ago: Option<u64>,
+    /// The term of the primary that it heard just now.
+    pub term: Option<Term>,
     /// Whether its own commits wait for replicas.
     pub stalled: bool,
 }
@@ -111,14 +111,15 @@
         }
     }
 
-    /// Whether another home's opinion speaks against the verdict.
+    /// Whether another home's opinion speaks against the verdict on the primary of `term`.
     ///
-    /// A stall counts only if the other sees progress, and a silence only if the other doesn't share it.
-    pub fn is_vetoed(&self, cause: Cause, opinions: &[Opinion]) -> bool {
-        let hears = |it: &Opinion| it.ago.is_some_and(|ago| ago < self.config.silence / 2);
-        match cause {
-            Cause::Stalled | Cause::Absent => false,
-            Cause::Silent | Cause::Refused => opinions.iter().any(|it| hears(it) && !it.stalled),
-        }
+    /// One that hears a primary of that term or a later one does, unless its own commits wait for replicas;
+    /// a stall is seen by whoever writes, so there only a later primary counts.
+    pub fn is_vetoed(&self, cause: Cause, term: Term, opinions: &[Opinion]) -> bool {
+        let hears = |it: &Opinion| match cause {
+            Cause::Stalled => it.term > Some(term),
+            Cause::Silent | Cause::Refused | Cause::Absent => it.term >= Some(term),
+        };
+        opinions.iter().any(|it| hears(it) && !it.stalled)
     }
 }
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -1,9 +1,14 @@
 //! Acknowledgements wait until a majority has received what they stand for.
 //!
-//! A server counts for a position when the last entry of its log was written in the gate's term and
-//! stands at or after it. Entries of a term come from that term's primary only, so such a log holds
-//! everything before its last entry exactly as the primary does. Any later promotion fences a majority,
-//! which shares a server with the one counted here, and takes the highest log among it.
+//! A server counts for a position when it says so in the gate's term, and the last entry of its log was
+//! written in that term and stands at or after the position. Entries of a term come from that term's
+//! primary only, so such a log holds everything before its last entry exactly as the primary does. Any
+//! later promotion fences a majority, which shares a server with the one counted here, and takes the
+//! highest log among it.
+//!
+//! An entry that a server got from a later term's primary does not count, although it is the same: a
+//! server with a shorter log of a term in between would still win against it. The exhaustive walk in
+//! `testbed` found that.
 
 use pondtrack_proto::{Lsn, Mark, Term};
 
@@ -57,13 +62,13 @@
         self.held.drain(..).map(|it| it.1).collect()
     }
 
-    /// Takes note of the last entry of a server's log; hands back the tickets that may go out.
-    pub fn observe(&mut self, server: usize, last: Mark) -> Vec<Ticket> {
-        let known = &mut self.logs[server];
-        // Answers on several connections overtake each other; within a term a log only grows.
-        if last.term != known.term || last.lsn > known.lsn {
-            *known = last;
+    /// A server that knows `term` shows the last entry of its log; hands back the tickets that may go out.
+    pub fn observe(&mut self, server: usize, term: Term, last: Mark) -> Vec<Ticket> {
+        if term != self.term || last.term != term {
+            return Vec::new();
         }
+        // Answers on several connections overtake each other; within a term a log only grows.
+        self.logs[server] = self.logs[server].max(last);
         let durable = self.durable();
         let n = self.held.partition_point(|it| it.0 <= durable);
         self.held.drain(..n).map(|it| it.1).collect()
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -5,34 +5,35 @@
 
 use rand::RngExt;
 
-/// A share of a retry earned by each success.
-const EARNED: f64 = 0.2;
+/// Successes that earn one retry.
+const PRICE: u32 = 5;
 /// Most retries saved up.
-const MOST: f64 = 50.0;
+const MOST: u32 = 50;
 
 /// A budget of retries.
 #[derive(Clone, Debug)]
 pub struct Budget {
-    saved: f64,
+    /// In successes.
+    saved: u32,
 }
 
 impl Default for Budget {
     fn default() -> Budget {
-        Budget { saved: MOST }
+        Budget { saved: MOST * PRICE }
     }
 }
 
 impl Budget {
     /// A request succeeded.
     pub fn earn(&mut self) {
-        self.saved = (self.saved + EARNED).min(MOST);
+        self.saved = (self.saved + 1).min(MOST * PRICE);
     }
 
     /// Takes one retry if there is one.
     pub fn spend(&mut self) -> bool {
-        let has = self.saved >= 1.0;
+        let has = self.saved >= PRICE;
         if has {
-            self.saved -= 1.0;
+            self.saved -= PRICE;
         }
         has
     }
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -101,17 +101,20 @@
     /// Begins with a granted term: every server is to be fenced.
     ///
     /// `prefer` is taken when its log is as high as any; `avoid` only when its log is higher than all
-    /// others, as a drained server's may be.
+    /// others, as a drained server's may be. `skip` is not fenced at all: a primary that its replicas don't
+    /// hear would win with what nobody else has, and be as useless as before.
     pub fn begin(
         servers: usize,
         quorum: usize,
         term: Term,
         prefer: Option<usize>,
         avoid: Vec<usize>,
+        skip: Option<usize>,
     ) -> (Switch, Vec<Action>) {
         let state = CHART.initial;
         let it = Switch { state, term, chosen: None, fenced: Vec::new(), quorum, prefer, avoid };
-        let actions = (0..servers).map(|server| Action::Fence { server, term }).collect();
+        let fenced = (0..servers).filter(|it| Some(*it) != skip);
+        let actions = fenced.map(|server| Action::Fence { server, term }).collect();
         (it, actions)
     }
 
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,309 @@
+//! Classification, routing, placement, admission, retries, detection.
+
+use {
+    pondtrack_core::{
+        admit::{Admission, Admit, AdmitConfig},
+        classify::{Stmt, classify},
+        detect::{Cause, DetectConfig, Detector, Heard, Opinion},
+        place,
+        retry::{Backoff, Budget},
+        route::{Candidate, RouteConfig, Target, choose},
+    },
+    pondtrack_proto::{Class, GroupSpec, Lsn, Mark, MemberState, MemberView, Name, ServerSpec, Term},
+    rand::SeedableRng,
+    rand_pcg::Pcg64Mcg,
+    rstest::rstest,
+};
+
+#[rstest]
+#[case("SELECT qty FROM stock WHERE part = $1", Class::Read)]
+#[case("/* hint */ select count(*) from a join b on a.id = b.id", Class::Read)]
+#[case("SELECT * FROM (SELECT max(id) FROM movement) m", Class::Read)]
+#[case("SHOW application_name", Class::Read)]
+#[case("SELECT 1; SELECT 2", Class::Read)]
+#[case("SELECT * FROM stock FOR UPDATE", Class::Write)]
+#[case("SELECT * FROM (SELECT * FROM stock FOR UPDATE) s", Class::Write)]
+#[case("SELECT nextval('ids')", Class::Write)]
+#[case("SELECT 1 WHERE EXISTS (SELECT pg_advisory_lock(1))", Class::Write)]
+#[case("WITH gone AS (DELETE FROM stock RETURNING *) SELECT * FROM gone", Class::Write)]
+#[case("SELECT * INTO copy FROM stock", Class::Write)]
+#[case("SELECT * FROM dblink('x')", Class::Write)]
+#[case("SELECT this is no sql", Class::Write)]
+#[case("SELECT 1; DELETE FROM stock", Class::Write)]
+#[case("INSERT INTO stock VALUES (1)", Class::Write)]
+#[case("VACUUM", Class::Write)]
+#[case("begin", Class::Begin)]
+#[case("START TRANSACTION READ ONLY", Class::Begin)]
+#[case("COMMIT;", Class::Commit)]
+#[case("end", Class::Commit)]
+#[case("ROLLBACK", Class::Rollback)]
+#[case("ROLLBACK TO SAVEPOINT a", Class::Write)]
+#[case("SAVEPOINT a", Class::Write)]
+fn statements_have_a_class(#[case] text: &str, #[case] class: Class) {
+    assert_eq!(classify(text), Stmt::Run(class));
+}
+
+#[rstest]
+#[case("BEGIN; DELETE FROM stock; COMMIT")]
+#[case("SELECT 1; what is this; COMMIT")]
+#[case("LISTEN news")]
+#[case("COPY stock FROM stdin")]
+#[case("DECLARE c CURSOR FOR SELECT 1")]
+fn what_shared_connections_cannot_do_is_refused(#[case] text: &str) {
+    assert!(matches!(classify(text), Stmt::Refuse(_)), "{:?}", classify(text));
+}
+
+#[rstest]
+#[case("SET a TO 'it''s'", "a", Some("it's"), false)]
+#[case("set session Search_Path = public", "search_path", Some("public"), false)]
+#[case("SET LOCAL x = 1", "x", Some("1"), true)]
+#[case("SET x = DEFAULT", "x", None, false)]
+#[case("RESET x", "x", None, false)]
+fn settings_are_read(
+    #[case] text: &str,
+    #[case] name: &str,
+    #[case] value: Option<&str>,
+    #[case] local: bool,
+) {
+    let value = value.map(Name::from);
+    assert_eq!(classify(text), Stmt::Set { name: name.into(), value, local });
+}
+
+fn candidate(server: usize, applied: u64) -> Candidate {
+    Candidate {
+        server,
+        zone: "a".into(),
+        primary: server == 0,
+        open: true,
+        heard: Some(1_000),
+        term: Term(2),
+        received: Mark::new(2, 100),
+        applied: Lsn(applied),
+        lag: 5,
+        queued: 0,
+    }
+}
+
+fn pick(list: &[Candidate], mark: Mark, tried: &[usize]) -> Target {
+    choose(&RouteConfig::default(), 1_000, "a", mark, list, tried, |_| true)
+}
+
+#[test]
+fn reads_go_to_a_replica_that_has_the_mark_or_soon_will() {
+    let list = [candidate(0, 100), candidate(1, 90), candidate(2, 100)];
+    let replica = |server| Target::Replica { server, wait: 60 };
+    assert_eq!(pick(&list, Mark::new(2, 100), &[]), replica(2));
+    assert_eq!(pick(&list, Mark::new(2, 90), &[]), replica(1));
+    assert_eq!(pick(&list, Mark::new(2, 100), &[2]), replica(1));
+    assert_eq!(pick(&list, Mark::new(2, 100), &[1, 2]), Target::Primary { server: 0 });
+}
+
+#[rstest]
+#[case::lagging(Candidate { lag: 5_000, applied: Lsn(1), ..candidate(1, 0) })]
+#[case::draining(Candidate { open: false, ..candidate(1, 100) })]
+#[case::silent(Candidate { heard: Some(0), ..candidate(1, 100) })]
+#[case::older_term(Candidate { term: Term(1), received: Mark::new(1, 100), ..candidate(1, 100) })]
+#[case::log_of_an_older_term(Candidate { received: Mark::new(1, 100), ..candidate(1, 100) })]
+fn such_a_replica_gets_no_reads(#[case] it: Candidate) {
+    assert_eq!(pick(&[candidate(0, 100), it], Mark::new(2, 50), &[]), Target::Primary { server: 0 });
+}
+
+#[test]
+fn near_and_idle_replicas_come_first() {
+    let far = Candidate { zone: "b".into(), ..candidate(1, 100) };
+    let busy = Candidate { queued: 5, ..candidate(2, 100) };
+    let list = [candidate(0, 100), far, busy.clone()];
+    assert_eq!(pick(&list, Mark::default(), &[]), Target::Replica { server: 1, wait: 60 });
+    let list = [candidate(0, 100), Candidate { queued: 1, ..busy }];
+    assert_eq!(pick(&list, Mark::default(), &[]), Target::Replica { server: 2, wait: 60 });
+}
+
+fn members(n: usize) -> Vec<MemberView> {
+    let one = |n: usize| MemberView {
+        name: format!("p{n:04}").into(),
+        addr: ([127, 0, 0, 1], 1_000).into(),
+        zone: format!("z{}", n % 3).into(),
+        incarnation: 1,
+        state: MemberState::Alive,
+    };
+    (0..n).map(one).collect()
+}
+
+fn spec(n: usize) -> GroupSpec {
+    let server = |z: usize| ServerSpec {
+        name: format!("db{n}-{z}").into(),
+        addr: ([127, 0, 0, 1], 5_432).into(),
+        zone: format!("z{z}").into(),
+        draining: false,
+    };
+    GroupSpec {
+        name: format!("db{n}").into(),
+        servers: (0..3).map(server).collect(),
+        limit: 25,
+        policy: Default::default(),
+    }
+}
+
+#[test]
+fn homes_are_spread_over_zones_and_a_join_moves_its_share_only() {
+    let before = members(30);
+    let after = members(33);
+    let mut moved = 0;
+    for n in 0..870 {
+        let old = place::homes(&spec(n), &before);
+        let new = place::homes(&spec(n), &after);
+        let mut zones: Vec<_> =
+            old.iter().map(|it| &place::find(&before, it).expect("a member").zone).collect();
+        zones.sort();
+        zones.dedup();
+        assert_eq!(zones.len(), 3);
+        for it in new.iter().filter(|it| !old.contains(it)) {
+            assert!(place::find(&before, it).is_none(), "an old instance took a group over on a join");
+            moved += 1;
+        }
+    }
+    // Three of 33 join, so a home moves with the chance of 1 in 11.
+    let share = f64::from(moved) / (870.0 * 3.0);
+    assert!((0.06..0.13).contains(&share), "{share}");
+}
+
+#[test]
+fn a_leaving_instance_is_no_home() {
+    let mut list = members(6);
+    let old = place::homes(&spec(1), &list);
+    let at = list.iter().position(|it| it.name == old[0]).expect("a member");
+    list[at].state = MemberState::Leaving;
+    assert!(!place::homes(&spec(1), &list).contains(&old[0]));
+}
+
+#[rstest]
+#[case(25, 3)]
+#[case(40, 3)]
+#[case(25, 1)]
+#[case(7, 3)]
+fn shares_never_exceed_a_servers_limit(#[case] limit: u32, #[case] homes: usize) {
+    let all: u32 = (0..homes).map(|rank| place::share(limit, homes, rank) + place::CONTROL).sum();
+    assert!(all <= limit, "{all} of {limit}");
+}
+
+#[test]
+fn callers_take_turns_and_the_hopeless_are_refused_at_once() {
+    let mut it = Admission::new(AdmitConfig { queue: 4, reserve: 0 }, 1);
+    let (greedy, modest) = (Name::from("greedy"), Name::from("modest"));
+    assert_eq!(it.offer(0, &greedy, 1_000, false), Admit::Run);
+    let waits: Vec<Admit> = (0..3).map(|_| it.offer(0, &greedy, 1_000, false)).collect();
+    let Admit::Wait(other) = it.offer(0, &modest, 1_000, false) else { panic!("it waits") };
+    assert!(matches!(it.offer(0, &modest, 1_000, false), Admit::Refuse { .. }), "the queue is full");
+    assert_eq!(it.done(10, Some(10), false).len(), 1);
+    // The second turn is the other caller's, although two of the first one came before.
+    assert_eq!(it.done(20, Some(10), false), [other]);
+    assert_eq!(waits.len(), 3);
+    for _ in 0..100 {
+        it.done(30, Some(400), false);
+    }
+    let mut slow = Admission::new(AdmitConfig { queue: 100, reserve: 0 }, 1);
+    slow.offer(0, &greedy, 10, false);
+    for _ in 0..40 {
+        slow.done(0, Some(500), false);
+        slow.offer(0, &greedy, 10, false);
+    }
+    assert!(matches!(slow.offer(0, &modest, 5, false), Admit::Refuse { retry_ms } if retry_ms >= 10));
+}
+
+#[test]
+fn idle_transactions_leave_a_slot_free() {
+    let mut it = Admission::new(AdmitConfig { queue: 10, reserve: 1 }, 3);
+    let name = Name::from("a");
+    assert_eq!(it.offer(0, &name, 100, true), Admit::Run);
+    assert_eq!(it.offer(0, &name, 100, true), Admit::Run);
+    assert!(matches!(it.offer(0, &name, 100, true), Admit::Wait(_)));
+    let other = Name::from("b");
+    assert!(matches!(it.offer(0, &other, 100, false), Admit::Wait(_)), "it queues behind");
+    assert_eq!(it.fill(0).len(), 1, "the single statement takes the free slot");
+}
+
+#[test]
+fn the_learned_limit_shrinks_under_latency_and_grows_back() {
+    let mut it = Admission::new(AdmitConfig::default(), 20);
+    let name = Name::from("a");
+    let mut run = |ms: u64, n: usize| {
+        for _ in 0..n {
+            it.offer(0, &name, 1_000, false);
+            it.done(0, Some(ms), false);
+        }
+        it.limit()
+    };
+    assert_eq!(run(2, 100), 20);
+    let low = run(200, 200);
+    assert!(low <= 4, "{low}");
+    assert!(run(2, 2_000) >= 15);
+}
+
+#[test]
+fn retries_are_a_share_of_successes() {
+    let mut it = Budget::default();
+    let first = (0..1_000).filter(|_| it.spend()).count();
+    assert!(first <= 50);
+    for _ in 0..100 {
+        it.earn();
+    }
+    assert_eq!((0..1_000).filter(|_| it.spend()).count(), 20);
+}
+
+#[test]
+fn waits_grow_with_jitter_up_to_their_cap() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut it = Backoff::new(10, 100);
+    let waits: Vec<u64> = (0..8).map(|_| it.next(&mut rng)).collect();
+    assert!((5..=10).contains(&waits[0]));
+    assert!(waits.iter().skip(5).all(|it| (50..=100).contains(it)), "{waits:?}");
+}
+
+fn detector() -> Detector {
+    Detector::new(DetectConfig::default(), 0)
+}
+
+#[rstest]
+#[case::well(Heard { last: Some(990), refused: None }, None, None)]
+#[case::silent(Heard { last: Some(500), refused: None }, None, Some(Cause::Silent))]
+#[case::refused(Heard { last: Some(990), refused: Some(800) }, None, Some(Cause::Refused))]
+#[case::stalled(Heard { last: Some(990), refused: None }, Some(400), Some(Cause::Stalled))]
+fn a_primary_is_given_up_for_a_cause(
+    #[case] heard: Heard,
+    #[case] stalled: Option<u64>,
+    #[case] cause: Option<Cause>,
+) {
+    assert_eq!(detector().judge(1_000, 0, Some(&heard), None, stalled), cause);
+}
+
+#[test]
+fn absence_counts_from_its_beginning_and_lower_ranks_wait_longer() {
+    let it = detector();
+    assert_eq!(it.judge(10_000, 0, None, Some(9_990), None), None);
+    assert_eq!(it.judge(10_400, 0, None, Some(9_990), None), Some(Cause::Absent));
+    assert_eq!(it.judge(10_400, 1, None, Some(9_990), None), None);
+}
+
+#[test]
+fn after_a_pause_of_its_own_an_instance_starts_from_nothing() {
+    let mut it = detector();
+    assert!(!it.look(1_000));
+    assert!(it.look(9_000));
+    let heard = Heard { last: Some(1_000), refused: None };
+    assert_eq!(it.judge(9_010, 0, Some(&heard), None, Some(1_000)), None);
+}
+
+#[test]
+fn another_home_that_hears_the_primary_speaks_against() {
+    let it = detector();
+    let vetoed = |cause, term: Option<u64>, stalled| {
+        it.is_vetoed(cause, Term(5), &[Opinion { from: "p1".into(), term: term.map(Term), stalled }])
+    };
+    assert!(vetoed(Cause::Silent, Some(5), false));
+    assert!(vetoed(Cause::Absent, Some(6), false), "the next primary is only out of reach from here");
+    assert!(!vetoed(Cause::Silent, Some(5), true));
+    assert!(!vetoed(Cause::Silent, None, false));
+    assert!(!vetoed(Cause::Silent, Some(4), false));
+    assert!(!vetoed(Cause::Stalled, Some(5), false));
+    assert!(vetoed(Cause::Stalled, Some(6), false));
+}
--- /dev/null
+++ b/crates/core/tests/safety.rs
@@ -0,0 +1,144 @@
+//! Gate, grants, freshness, keys and tokens.
+
+use {
+    pondtrack_core::{
+        fresh::Freshness,
+        gate::{Gate, Verdict},
+        grant::{self, BLOCK, Grants},
+        request_key::{self, KeyError, WINDOW_MS},
+        token::Token,
+    },
+    pondtrack_proto::{Lsn, Mark, Term, TermRecord},
+    rstest::rstest,
+};
+
+const PRIMARY: usize = 0;
+
+fn gate() -> Gate {
+    let mut it = Gate::new(3, 2);
+    it.begin(Term(2));
+    it
+}
+
+#[test]
+fn one_replica_of_three_opens_the_gate_for_all_behind_it() {
+    let mut it = gate();
+    it.observe(PRIMARY, Term(2), Mark::new(2, 9));
+    let tickets: Vec<_> = [7, 8, 9].map(|lsn| it.hold(Term(2), Lsn(lsn))).into_iter().collect();
+    let open = it.observe(1, Term(2), Mark::new(2, 8));
+    assert_eq!(open.len(), 2);
+    assert_eq!(tickets[0], Verdict::Wait(open[0]));
+    assert_eq!(it.waiting(), 1);
+    assert_eq!(it.hold(Term(2), Lsn(8)), Verdict::Open);
+}
+
+#[rstest]
+#[case::entry_of_an_earlier_term(Term(2), Mark::new(1, 9))]
+// Found by the exhaustive walk: the log came by the primary of term 3.
+#[case::server_that_knows_a_later_term(Term(3), Mark::new(2, 9))]
+#[case::server_of_an_earlier_term(Term(1), Mark::new(1, 9))]
+fn what_does_not_count_for_a_majority(#[case] term: Term, #[case] last: Mark) {
+    let mut it = gate();
+    it.observe(PRIMARY, Term(2), Mark::new(2, 9));
+    assert!(matches!(it.hold(Term(2), Lsn(9)), Verdict::Wait(_)));
+    assert!(it.observe(1, term, last).is_empty());
+    assert_eq!(it.waiting(), 1);
+}
+
+#[test]
+fn a_new_term_breaks_what_waits_and_refuses_the_old() {
+    let mut it = gate();
+    assert!(matches!(it.hold(Term(2), Lsn(5)), Verdict::Wait(_)));
+    assert_eq!(it.begin(Term(3)).len(), 1);
+    assert_eq!(it.hold(Term(2), Lsn(1)), Verdict::Broken);
+    assert_eq!(it.durable(), Lsn(0));
+}
+
+#[test]
+fn no_term_is_granted_twice() {
+    let mut record = TermRecord::default();
+    let (mut a, mut b) = (Grants::default(), Grants::default());
+    let mut taken = Vec::new();
+    for change in 0..4 {
+        for it in [&mut a, &mut b] {
+            let (next, block) = grant::give(&record, Term(3), change);
+            record = next;
+            it.add(block.0, block.1);
+            taken.push(it.take(Term(3)).expect("just granted"));
+        }
+    }
+    let mut unique = taken.clone();
+    unique.sort_unstable();
+    unique.dedup();
+    assert_eq!(unique.len(), taken.len());
+    assert!(taken.iter().all(|it| *it > Term(3)));
+}
+
+#[test]
+fn terms_below_the_known_one_are_forgotten() {
+    let mut it = Grants::default();
+    it.add(Term(2), Term(2 + BLOCK));
+    assert_eq!(it.take(Term(5)), Some(Term(6)));
+    assert_eq!(it.take(Term(100)), None);
+    assert!(it.is_low());
+}
+
+#[rstest]
+#[case::applied_all(Lsn(10), Some(100))]
+#[case::behind_the_last_seen(Lsn(9), Some(50))]
+#[case::behind_everything(Lsn(4), None)]
+fn an_answer_is_as_old_as_the_question_that_showed_its_position(
+    #[case] applied: Lsn,
+    #[case] as_of: Option<u64>,
+) {
+    let mut it = Freshness::new(3, 2);
+    for server in 0..2 {
+        it.confirm(server, Term(1), 100);
+    }
+    it.observe(Term(1), Lsn(5), 50);
+    it.observe(Term(1), Lsn(10), 100);
+    assert_eq!(it.as_of(Term(1), applied), as_of);
+}
+
+#[test]
+fn a_replica_of_a_primary_without_a_majority_ages() {
+    let mut it = Freshness::new(3, 2);
+    it.confirm(0, Term(1), 100);
+    it.confirm(1, Term(1), 100);
+    it.observe(Term(1), Lsn(5), 100);
+    // The primary goes on alone: nobody else confirms its term.
+    it.confirm(0, Term(1), 900);
+    it.observe(Term(1), Lsn(6), 900);
+    assert_eq!(it.as_of(Term(1), Lsn(5)), Some(100));
+    assert_eq!(it.as_of(Term(1), Lsn(6)), Some(100));
+    it.confirm(1, Term(2), 950);
+    it.confirm(2, Term(2), 950);
+    assert_eq!(it.as_of(Term(1), Lsn(9)), None);
+}
+
+#[test]
+fn keys_are_checked_for_form_and_age() {
+    let issued = 1_800_000_000_000u64;
+    let key = key_at(issued);
+    assert_eq!(request_key::check(&key, issued + 5), Ok(issued));
+    assert_eq!(request_key::check("order-17", issued), Err(KeyError::Form));
+    let age_ms = WINDOW_MS + 1;
+    assert_eq!(request_key::check(&key, issued + age_ms), Err(KeyError::Old { age_ms }));
+    assert!(matches!(request_key::check(&key, issued - 400_000), Err(KeyError::Ahead { .. })));
+}
+
+/// A UUID of version 7 issued at a time.
+fn key_at(ms: u64) -> String {
+    let hex = format!("{ms:012x}");
+    format!("{}-{}-7abc-8def-0123456789ab", &hex[..8], &hex[8..])
+}
+
+#[test]
+fn tokens_come_back_as_they_were() {
+    let settings = vec![("application_name".into(), "depot.7 'x'".into())];
+    let it = Token { group: "parts".into(), mark: Mark::new(3, 77), settings };
+    assert_eq!(Token::parse(&it.render()), Ok(it));
+    for bad in ["", "pt1", "pt2.70.1.1", "pt1.7.1.1", "pt1.70.x.1", "pt1.70.1.1.61", "pt1.é.1.1"] {
+        assert!(Token::parse(bad).is_err(), "{bad}");
+    }
+}
--- a/crates/pondtrackd/src/home/mod.rs
+++ b/crates/pondtrackd/src/home/mod.rs
@@ -298,7 +298,7 @@
             self.begin_term(node, position.term);
         }
         let waited = self.gate.borrow().waiting();
-        let open = self.gate.borrow_mut().observe(server, position.received);
+        let open = self.gate.borrow_mut().observe(server, position.term, position.received);
         if !open.is_empty() {
             self.stalled.set((waited > open.len()).then_some(now));
         }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`cluster`] | a whole system |
 //! | [`caller`] | callers over the stock client library |
 //! | [`demo`] | a first look, in one process |
+//! | [`model`] | the exhaustive walk over gate and switch |
 //! | [`scenario`] | the small test language |
 
 pub mod caller;
@@ -16,6 +17,7 @@
 pub mod db;
 pub mod demo;
 pub mod launch;
+pub mod model;
 pub mod platform;
 pub mod relay;
 pub mod scenario;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -8,7 +8,11 @@
         process::ExitCode,
         time::Duration,
     },
-    testbed::{db, demo, platform},
+    testbed::{
+        db, demo,
+        model::{self, Bounds},
+        platform,
+    },
 };
 
 #[derive(Clone, Debug, Bpaf)]
@@ -51,6 +55,28 @@
     /// An instance: the same as pondtrackd
     #[bpaf(command)]
     Instance(#[bpaf(external(pondtrackd::settings::settings_parser))] pondtrackd::Settings),
+    /// The exhaustive walk over gate, switch, fencing, promotion and rejoining
+    #[bpaf(command)]
+    Model {
+        /// Changes of primary that the first home may begin
+        #[bpaf(long, argument("N"), fallback(1))]
+        switches: u8,
+        /// The same of the second home
+        #[bpaf(long, argument("N"), fallback(1))]
+        switches2: u8,
+        /// Writes of the first home's writer
+        #[bpaf(long, argument("N"), fallback(1))]
+        writes: u8,
+        /// The same of the second home's
+        #[bpaf(long, argument("N"), fallback(0))]
+        writes2: u8,
+        /// Homes also act on positions that are out of date
+        #[bpaf(long)]
+        stale: bool,
+        /// Most states
+        #[bpaf(long, argument("N"), fallback(8_000_000))]
+        states: usize,
+    },
     /// A first look, in one process: a primary is killed and work goes on
     #[bpaf(command)]
     Demo {
@@ -69,6 +95,18 @@
             serve(db::serve(config, say_ready))
         }
         Command::Instance(settings) => pondtrackd::program::main(settings),
+        Command::Model { switches, switches2, writes, writes2, stale, states } => {
+            let bounds = Bounds {
+                switches: [switches, switches2],
+                writes: [writes, writes2],
+                stale,
+                states,
+                ..Bounds::small()
+            };
+            let it = model::walk(bounds);
+            println!("states={} whole={} violation={:?}", it.states, it.whole, it.violation);
+            exit(Ok(it.violation.is_none()))
+        }
         Command::Demo { stay } => work(demo::run(stay)),
     }
 }
