Failures brought about by scenarios, and what they showed

Scenarios with separate processes: killed, cut, frozen primary; platform down, slow, losing answers; roaming and dying instances; keyed requests; drains, switches, stops and racing operators; two failures at once.

The contract now says that a fence ends work connections. - cut-primary: a primary without replicas was fenced together with them, won by its unacknowledged tail and stalled again, for ever. It is left out of the change that its stall causes. - A home cut from the next primary took it for absent and changed it without need. Every verdict is now put to the other homes, which ask the primary anew. - frozen-primary: a write waited 5 s and was then unknown.

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -301,6 +301,10 @@
             self.merge(now, it, &mut out);
         }
         self.seeds.retain(|it| *it != addr);
+        if out.changes.iter().any(|it| matches!(it.after, MemberState::Leaving | MemberState::Dead)) {
+            // Groups are waiting to move: such news don't wait for the next probe.
+            self.push_news(&mut out);
+        }
         let probe = matches!(body, Payload::Ping { .. } | Payload::Ack { .. });
         match body {
             Payload::Ping { seq } => {
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -79,8 +79,7 @@
                 self.send(n, out);
             }
         }
-        loop {
-            let Some(at) = self.flight.iter().position(|it| it.0 <= self.now) else { break };
+        while let Some(at) = self.flight.iter().position(|it| it.0 <= self.now) {
             let (_, to, gram) = self.flight.swap_remove(at);
             if let Some(it) = &mut self.nodes[to] {
                 let out = it.receive(self.now, gram);
@@ -204,7 +203,7 @@
     let mut fleet = Fleet::new(24, seed, loss, Choice::Uniform);
     fleet.until(60_000, |it| it.all_see(24)).expect("joined");
     let key = fact("parts", 1).key;
-    let mut highest = vec![0; 24];
+    let mut highest = [0; 24];
     for version in [5, 6, 9] {
         let out = fleet.nodes[version as usize].as_mut().expect("up").learn(fact("parts", version));
         fleet.send(version as usize, out);
--- a/crates/pondtrackd/src/entry/session.rs
+++ b/crates/pondtrackd/src/entry/session.rs
@@ -342,7 +342,7 @@
                 self.home = home;
                 self.done(&batch, reply.frames, reply.txn, sets)
             }
-            other => self.failed(&other),
+            other => self.failed(class, &other),
         }
     }
 
@@ -443,8 +443,9 @@
     }
 
     /// A request has no answer of the upstream.
-    fn failed(&mut self, outcome: &Outcome) -> BytesMut {
+    fn failed(&mut self, class: Class, outcome: &Outcome) -> BytesMut {
         let inside = self.txn() != TxnState::Idle;
+        let ends = matches!(class, Class::Commit | Class::Rollback);
         let error = match outcome {
             Outcome::NotRun { reason, retry_ms } => {
                 self.node.count(Count::NotRun);
@@ -463,9 +464,9 @@
             }
             Outcome::Done => SqlError::error("XX000", "an answer without messages"),
         };
-        if inside && matches!(outcome, Outcome::Unknown { .. }) {
-            // The commit has ended the transaction, one way or the other.
-            self.saved = None;
+        if inside && ends {
+            // The transaction is over, one way or the other.
+            self.undo_settings();
             self.apply(SessionEvent::Settled);
         } else if inside {
             self.lost = true;
--- a/crates/pondtrackd/src/home/exec.rs
+++ b/crates/pondtrackd/src/home/exec.rs
@@ -353,6 +353,10 @@
                 // Nothing was committed: the server rolls back what its connection's end leaves open.
                 return (Err(Fail::Again { reason, server: None }), None);
             }
+            Err(Fail::Broken { reason, before: Some(before) }) => {
+                drop(lease);
+                return (self.resolve_unanswered(reason, before).await, None);
+            }
             Err(e) => return (Err(e), None),
         };
         self.acknowledge(server, lease, it, None).await
@@ -450,6 +454,24 @@
         }
     }
 
+    /// A commit was never answered. It lasted only if the next primary's log, which is final, holds an
+    /// entry of its term after the position known before it was sent; without any it did not run.
+    async fn resolve_unanswered(&self, reason: Name, before: Position) -> Result<Ran, Fail> {
+        let unknown = || Fail::Broken { reason: reason.clone(), before: Some(before) };
+        let primary = self.home.wait_primary(self.node, self.deadline).await.ok_or_else(unknown)?;
+        let now = self.home.servers[primary].view.borrow().position;
+        let now = now.filter(|it| it.term > before.term).ok_or_else(unknown)?;
+        let settled = Mark { term: now.term, lsn: now.received.lsn };
+        if self.home.gated(self.node, settled, self.deadline).await != Gated::Open {
+            return Err(unknown());
+        }
+        let next = Order::Entry(Lsn(before.received.lsn.0 + 1));
+        match self.home.order(self.node, primary, next, super::ORDER_LIMIT).await {
+            Ok(it) if it.received.term != before.term => Err(Fail::Again { reason, server: None }),
+            _ => Err(unknown()),
+        }
+    }
+
     /// A keyed statement: the ledger and the statement in one transaction.
     async fn write_keyed(&self, key: &Name, issued: u64) -> Result<Ran, Fail> {
         let (server, mut lease) = self.lend_primary().await?;
@@ -569,6 +591,11 @@
     /// A batch of a transaction that is open.
     async fn in_transaction(&self, mut pinned: Box<Pinned>) -> (Result<Ran, Fail>, Option<Box<Pinned>>) {
         pinned.lease.resume();
+        if pinned.lease.conn().is_stale() {
+            // Nothing of this batch was sent, and the server rolls back what it was sent before.
+            let reason = "the server ended the connection".into();
+            return (Err(Fail::Again { reason, server: None }), None);
+        }
         let commits = self.req.class == Class::Commit;
         let mut head = BytesMut::new();
         if let Some(key) = pinned.key.as_ref().filter(|_| commits) {
@@ -581,7 +608,11 @@
             Err(Fail::Broken { reason, before }) if commits => {
                 let key = pinned.key.clone();
                 drop(pinned);
-                return (self.commit_lost(key, reason, before).await, None);
+                let out = match (key, before) {
+                    (None, Some(before)) => self.resolve_unanswered(reason, before).await,
+                    (key, before) => self.commit_lost(key, reason, before).await,
+                };
+                return (out, None);
             }
             Err(Fail::Broken { reason, .. }) => {
                 // The commit was never sent, so the server rolls back.
@@ -735,6 +766,7 @@
         if let Some(it) = after {
             // Every answer is evidence, as good as that of a watch.
             self.home.saw(self.node, lease.server, it, sent);
+            lease.known = (it.role == Role::Primary).then_some(it);
         }
         Ok(Exchange { before, extra, answer, after })
     }
@@ -758,14 +790,21 @@
     /// Sends and reads, bounded in time, ended by a cancel request of the caller.
     async fn exchange(&self, lease: &mut Lease, out: &BytesMut, n: usize) -> Result<Vec<Answer>, Fail> {
         let max = self.node.settings.max_answer_bytes;
+        let server = lease.server;
+        let left = self.left();
+        // What was last seen of the server before anything was sent.
+        let seen = self.home.servers[server].view.borrow().position;
+        let before = lease.known.or(seen.filter(|it| it.role == Role::Primary));
+        let broken = |reason: String| Fail::Broken { reason: reason.into(), before };
         let conn = lease.conn();
         let (addr, key) = (conn.addr, conn.cancel.clone());
-        let broken = |reason: String| Fail::Broken { reason: reason.into(), before: None };
-        let left = self.left();
         let work = conn.run(out, n, max);
         tokio::pin!(work);
         let done = tokio::select! {
             it = timeout(left, &mut work) => it,
+            () = self.superseded(server, before) => {
+                return Err(broken("the primary was superseded while this ran".to_owned()));
+            }
             () = self.cancel.notified() => {
                 let peer = self.home.group.clone();
                 let bind = self.node.settings.bind;
@@ -788,6 +827,19 @@
         }
     }
 
+    /// Waits until another server leads a later term: nothing more is to be expected of this one.
+    async fn superseded(&self, server: usize, before: Option<Position>) {
+        let Some(before) = before else { return std::future::pending().await };
+        loop {
+            let changed = self.home.changed.notified();
+            let moved = self.home.gate.borrow().term() > before.term;
+            if moved && self.home.primary().is_some_and(|it| it != server) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     fn finish(&self, lease: Lease, txn: TxnState) {
         if txn == TxnState::Idle {
             lease.give_back();
--- a/crates/pondtrackd/src/home/failover.rs
+++ b/crates/pondtrackd/src/home/failover.rs
@@ -23,8 +23,10 @@
 const SWITCH_LIMIT: Duration = Duration::from_millis(1_500);
 /// Time for the opinions of other homes.
 const OPINION_LIMIT: Duration = Duration::from_millis(150);
-/// Wait after a change of primary that failed or was spoken against.
+/// Wait after a change of primary.
 const AGAIN: u64 = 200;
+/// First and longest wait after a verdict that another home spoke against.
+const VETOED: (u64, u64) = (500, 8_000);
 /// Time for which a server may stand apart before it is told whom to follow, per rank of the home.
 const APART: u64 = 300;
 /// Time for which a server may know a higher term than the primary before the primary is renewed.
@@ -42,6 +44,7 @@
     let mut quiet_until: Time = 0;
     let mut apart: Vec<Option<Time>> = vec![None; home.servers.len()];
     let mut absent = None;
+    let mut vetoed = VETOED.0;
     while !home.closing.get() {
         sleep(LOOK).await;
         let now = node.now();
@@ -53,6 +56,7 @@
         }
         if home.primary().is_some() && home.primary_is_near(&node) {
             home.found(&node);
+            vetoed = VETOED.0;
         } else if home.lost.get().is_none() {
             home.lost.set(Some(now));
         }
@@ -63,23 +67,20 @@
         }
         let Some(cause) = judge(&node, &home, now, absent, &apart) else { continue };
         let primary = home.primary();
-        let prefer = match cause {
-            Cause::Absent => None,
-            _ => None.or(renewed(&home, cause)),
-        };
-        if let (Cause::Silent | Cause::Refused, Some(server)) = (cause, primary) {
-            let opinions = ask_others(&node, &home, server).await;
-            if home.detector.borrow().is_vetoed(cause, &opinions) {
-                node.count(Count::Vetoes);
-                let evidence = format!("{cause}; others: {opinions:?}");
-                node.decide(&home.group, "the primary is kept: another home hears it", evidence);
-                quiet_until = node.now() + AGAIN;
-                continue;
-            }
+        let opinions = ask_others(&node, &home).await;
+        let term = leading_term(&home, primary);
+        if home.detector.borrow().is_vetoed(cause, term, &opinions) {
+            node.count(Count::Vetoes);
+            let evidence = format!("{cause}; others: {opinions:?}");
+            node.decide(&home.group, "the primary is kept: another home hears it", evidence);
+            quiet_until = node.now() + vetoed;
+            vetoed = (vetoed * 2).min(VETOED.1);
+            continue;
         }
         let evidence = evidence(&node, &home, cause);
         node.decide(&home.group, format!("the primary is given up: {cause}"), evidence);
-        if let Err(why) = change(&node, &home, prefer).await {
+        let wish = wish(cause, primary);
+        if let Err(why) = change(&node, &home, wish).await {
             node.decide(&home.group, "the change of primary failed", why);
         }
         quiet_until = node.now() + AGAIN;
@@ -119,11 +120,21 @@
         .filter(|_| !node.leaving.get() || rank == 0)
 }
 
-/// The server that should stay the primary when its term has to be renewed.
-fn renewed(home: &Home, cause: Cause) -> Option<usize> {
+/// Which server should be the primary, and which should not even be asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Wish {
+    /// Taken when its log is as high as any.
+    pub prefer: Option<usize>,
+    /// Not fenced.
+    pub skip: Option<usize>,
+}
+
+fn wish(cause: Cause, primary: Option<usize>) -> Wish {
     match cause {
-        Cause::Absent => home.primary(),
-        _ => None,
+        Cause::Stalled => Wish { prefer: None, skip: primary },
+        // The term of a primary that is well is only renewed.
+        Cause::Absent => Wish { prefer: primary, skip: None },
+        Cause::Silent | Cause::Refused => Wish::default(),
     }
 }
 
@@ -147,21 +158,24 @@
     format!("{}{stalled}", servers.join("; "))
 }
 
-/// Asks the other homes whether they hear a server.
-async fn ask_others(node: &Rc<Node>, home: &Rc<Home>, server: usize) -> Vec<Opinion> {
+/// The term of the primary that is judged; without one, the highest term known.
+fn leading_term(home: &Home, primary: Option<usize>) -> Term {
+    let position = primary.and_then(|n| home.servers[n].view.borrow().position);
+    position.map_or_else(|| home.term(), |it| it.term)
+}
+
+/// Asks the other homes whether they hear a primary.
+async fn ask_others(node: &Rc<Node>, home: &Rc<Home>) -> Vec<Opinion> {
     let spec = home.spec.borrow().clone();
     let homes = node.homes_of(&spec).homes.clone();
-    let name = spec.servers[server].name.clone();
     let mut asks = Vec::new();
     for it in homes.into_iter().filter(|it| *it != node.name) {
-        let (group, server) = (home.group.clone(), name.clone());
+        let group = home.group.clone();
         let node = node.clone();
         asks.push(async move {
-            let make = |id| PeerMsg::Heard { id, group, server };
+            let make = |id| PeerMsg::Heard { id, group };
             match node.peers.ask(&node, &it, make, OPINION_LIMIT).await {
-                Some(PeerMsg::HeardReply { ago_ms, stalled, .. }) => {
-                    Some(Opinion { from: it, ago: ago_ms, stalled })
-                }
+                Some(PeerMsg::HeardReply { term, stalled, .. }) => Some(Opinion { from: it, term, stalled }),
                 _ => None,
             }
         });
@@ -169,13 +183,13 @@
     futures::future::join_all(asks).await.into_iter().flatten().collect()
 }
 
-/// Changes the primary; `prefer` is taken when its log is as high as any.
-pub async fn change(node: &Rc<Node>, home: &Rc<Home>, prefer: Option<usize>) -> Result<(Term, Name), String> {
+/// Changes the primary.
+pub async fn change(node: &Rc<Node>, home: &Rc<Home>, wish: Wish) -> Result<(Term, Name), String> {
     if home.switching.replace(true) {
         return Err("another change is under way".to_owned());
     }
     node.count(Count::Switches);
-    let out = match timeout(SWITCH_LIMIT, drive(node, home, prefer)).await {
+    let out = match timeout(SWITCH_LIMIT, drive(node, home, wish)).await {
         Ok(it) => it,
         Err(_) => Err(format!("not done within {} ms", SWITCH_LIMIT.as_millis())),
     };
@@ -188,11 +202,12 @@
     out
 }
 
-async fn drive(node: &Rc<Node>, home: &Rc<Home>, prefer: Option<usize>) -> Result<(Term, Name), String> {
+async fn drive(node: &Rc<Node>, home: &Rc<Home>, wish: Wish) -> Result<(Term, Name), String> {
     let term = take_term(node, home).await?;
     let spec = home.spec.borrow().clone();
     let avoid = (0..spec.servers.len()).filter(|n| spec.servers[*n].draining).collect();
-    let (mut switch, first) = Switch::begin(spec.servers.len(), spec.majority(), term, prefer, avoid);
+    let (mut switch, first) =
+        Switch::begin(spec.servers.len(), spec.majority(), term, wish.prefer, avoid, wish.skip);
     let (send, mut receive) = mpsc::unbounded_channel();
     perform(node, home, first, &send);
     while let Some(it) = receive.recv().await {
--- a/crates/pondtrackd/src/home/pool.rs
+++ b/crates/pondtrackd/src/home/pool.rs
@@ -12,7 +12,7 @@
         life::{self, ConnEvent, ConnState},
         retry::Backoff,
     },
-    pondtrack_edge::{EdgeError, Upstream},
+    pondtrack_edge::{EdgeError, Upstream, contract::Position},
     pondtrack_proto::Name,
     std::{
         cell::{Cell, RefCell},
@@ -71,6 +71,8 @@
 pub struct Lease {
     /// The server, by its place in the group.
     pub server: usize,
+    /// The server's position after the last batch of the transaction, as its primary.
+    pub known: Option<Position>,
     conn: Option<Upstream>,
     state: ConnState,
     slot: Slot,
@@ -186,7 +188,7 @@
         let slot = self.admit(node, caller, deadline, begins).await?;
         let conn = self.open_conn(node, home, server, deadline).await?;
         self.lent.set(self.lent.get() + 1);
-        let mut lease = Lease { server, conn: Some(conn), state: ConnState::Free, slot };
+        let mut lease = Lease { server, known: None, conn: Some(conn), state: ConnState::Free, slot };
         lease.apply(ConnEvent::Lend);
         Ok(lease)
     }
--- a/crates/pondtrackd/src/peers.rs
+++ b/crates/pondtrackd/src/peers.rs
@@ -9,7 +9,10 @@
     bytes::Bytes,
     futures::{SinkExt, StreamExt},
     pondtrack_core::Time,
-    pondtrack_edge::link::{self, LinkReader, LinkWriter},
+    pondtrack_edge::{
+        contract::{Order, Role},
+        link::{self, LinkReader, LinkWriter},
+    },
     pondtrack_proto::{Name, Outcome, PeerMsg, Question, Reply, Request, Served, TxnState},
     std::{
         cell::{Cell, RefCell},
@@ -32,6 +35,8 @@
 const BEAT: Duration = Duration::from_millis(200);
 /// Silence of a link, while requests wait, after which it is given up, in milliseconds.
 const SILENCE: Time = 700;
+/// Time for a primary to answer when another home asks about it.
+const HEARD_LIMIT: Duration = Duration::from_millis(120);
 /// How long a peer whose link broke is tried last, in milliseconds.
 const SHUNNED: Time = 2_000;
 
@@ -356,9 +361,12 @@
             }
         }
         PeerMsg::CancelFor { pid, secret } => entry::cancel_here(node, pid, secret),
-        PeerMsg::Heard { id, group, server } => {
-            let it = heard(node, id, &group, &server);
-            let _ = send.try_send(link::encode(&it));
+        PeerMsg::Heard { id, group } => {
+            let (node, send) = (node.clone(), send.clone());
+            tokio::task::spawn_local(async move {
+                let it = heard(&node, id, &group).await;
+                let _ = send.send(link::encode(&it)).await;
+            });
         }
         PeerMsg::Hold { id, group, ms } => {
             let (node, send) = (node.clone(), send.clone());
@@ -396,18 +404,15 @@
     }
 }
 
-fn heard(node: &Node, id: u64, group: &Name, server: &Name) -> PeerMsg {
-    let home = node.home(group);
-    let now = node.now();
-    let ago_ms = home.as_ref().and_then(|it| {
-        let at = it.spec.borrow().server(server)?;
-        let heard = it.servers[at].view.borrow().heard;
-        heard.last.filter(|_| heard.refused.is_none()).map(|at| now.saturating_sub(at))
-    });
+/// Asks the primary anew, as what was heard a while ago says little.
+async fn heard(node: &Rc<Node>, id: u64, group: &Name) -> PeerMsg {
+    let silent = PeerMsg::HeardReply { id, term: None, stalled: false };
+    let Some(home) = node.home(group) else { return silent };
+    let Some(primary) = home.primary() else { return silent };
+    let Ok(it) = home.order(node, primary, Order::Position, HEARD_LIMIT).await else { return silent };
     let limit = node.settings.detect().stall / 2;
-    let stalled = home.as_ref().and_then(|it| it.stalled.get());
-    let stalled = stalled.is_some_and(|at| now.saturating_sub(at) > limit);
-    PeerMsg::HeardReply { id, ago_ms, term: home.map(|it| it.term()).unwrap_or_default(), stalled }
+    let stalled = home.stalled.get().is_some_and(|at| node.now().saturating_sub(at) > limit);
+    PeerMsg::HeardReply { id, term: (it.role == Role::Primary).then_some(it.term), stalled }
 }
 
 /// Holds new work for a group's primary here; hands back how many transactions are still open.
--- a/crates/pondtrackd/src/planner.rs
+++ b/crates/pondtrackd/src/planner.rs
@@ -424,7 +424,8 @@
     if caught.applied < mark.lsn {
         return Err("the next primary did not catch up in time".to_owned());
     }
-    let (term, name) = failover::change(node, home, Some(target)).await?;
+    let wish = failover::Wish { prefer: Some(target), skip: None };
+    let (term, name) = failover::change(node, home, wish).await?;
     if home.spec.borrow().server(&name) != Some(target) {
         return Err(format!("{name} had a higher log and became the primary of term {term}"));
     }
--- a/crates/pondtrackd/src/settings.rs
+++ b/crates/pondtrackd/src/settings.rs
@@ -97,7 +97,7 @@
     #[bpaf(long, env("PONDTRACK_SPREAD"), argument("CHOICE"), fallback(Choice::Uniform))]
     pub spread: Choice,
     /// What is logged, such as info or debug, as flexi_logger reads it
-    #[bpaf(long, env("PONDTRACK_LOG"), argument("SPEC"), fallback("info".to_owned()))]
+    #[bpaf(long, env("PONDTRACK_LOG"), argument("SPEC"), fallback("info, jsonrpsee=warn, jsonrpsee_server=warn, hyper_util=warn, reqwest=warn".to_owned()))]
     pub log: String,
 }
 
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -154,23 +154,19 @@
         /// The secret given to the caller.
         secret: i32,
     },
-    /// Asks whether the receiver hears from a server.
+    /// Asks whether the receiver hears a primary of a group; it asks the primary anew.
     Heard {
         /// Matches the answer.
         id: u64,
         /// The group.
         group: Name,
-        /// The server.
-        server: Name,
     },
     /// Answers [`PeerMsg::Heard`].
     HeardReply {
         /// The id of the question.
         id: u64,
-        /// Milliseconds since the server was last heard; none if never, or if not watched.
-        ago_ms: Option<u64>,
-        /// The highest term heard of in the group.
-        term: Term,
+        /// The term of the primary that answered just now; none when none did.
+        term: Option<Term>,
         /// Whether commits wait at the receiver for replicas that don't advance.
         stalled: bool,
     },
--- a/crates/testbed/src/db/session.rs
+++ b/crates/testbed/src/db/session.rs
@@ -43,6 +43,12 @@
     term: Term,
     written: Vec<Written>,
     lock: Option<OwnedMutexGuard<()>>,
+    /// Whether it has run anything but orders.
+    used: bool,
+    /// Whether a fence has ended it.
+    ended: bool,
+    /// Woken when it is ended.
+    end: Rc<Notify>,
 }
 
 impl Live {
@@ -56,6 +62,10 @@
         if self.txn == TxnState::Open {
             self.txn = TxnState::Failed;
         }
+        if self.used {
+            self.ended = true;
+            self.end.notify_one();
+        }
     }
 }
 
@@ -138,7 +148,17 @@
     cancel: Rc<Notify>,
 ) -> std::io::Result<()> {
     let conn = server.store.borrow().session().map_err(std::io::Error::other)?;
-    let live = Live { conn, txn: TxnState::Idle, term: Term(0), written: Vec::new(), lock: None };
+    let end = Rc::new(Notify::new());
+    let live = Live {
+        conn,
+        txn: TxnState::Idle,
+        term: Term(0),
+        written: Vec::new(),
+        lock: None,
+        used: false,
+        ended: false,
+        end: end.clone(),
+    };
     let live = Rc::new(RefCell::new(live));
     server.remember(&live);
     let mut it = Session {
@@ -154,9 +174,13 @@
     write.write_all(&it.out.split()).await?;
     let mut skipping = false;
     loop {
-        let Ok(frame) = reader.frame().await else { return Ok(()) };
+        let frame = tokio::select! {
+            it = reader.frame() => it,
+            () = end.notified() => return Ok(()),
+        };
+        let Ok(frame) = frame else { return Ok(()) };
         let tag = frame[0];
-        if tag == b'X' {
+        if tag == b'X' || it.live.borrow().ended {
             return Ok(());
         }
         if skipping && tag != b'S' {
@@ -373,6 +397,7 @@
         if let Some(order) = Order::parse(text) {
             return self.order(order).await;
         }
+        self.live.borrow_mut().used = true;
         let word = text.split(|c: char| !c.is_ascii_alphabetic()).next().unwrap_or("").to_ascii_lowercase();
         let txn = self.live.borrow().txn;
         if txn == TxnState::Failed && !matches!(word.as_str(), "rollback" | "commit" | "end" | "abort") {
@@ -500,7 +525,7 @@
             return Err(read_only());
         }
         let mut live = self.live.borrow_mut();
-        if live.txn == TxnState::Failed {
+        if live.txn == TxnState::Failed || live.ended {
             return Err(SqlError::error("57P01", "terminating the transaction: the server was fenced"));
         }
         live.lock = Some(guard);
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -455,7 +455,7 @@
 
     fn pause(&mut self, args: &mut ArgumentConsumer<'_>) -> Result<String> {
         let ms: u64 = positional(args)?.parse()?;
-        self.runtime.block_on(sleep(Duration::from_millis(ms)));
+        self.runtime.block_on(async { sleep(Duration::from_millis(ms)).await });
         Ok(String::new())
     }
 }
