Measurements, the command line, reference and design pages

Found and mended: - A group that nothing was ever written to answered nothing: the first term's log had no entry (scenario empty; ceiling and fleet failed by it).

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -274,6 +274,9 @@
         self.expire_probes(now, &mut out);
         self.expire_suspects(now, &mut out);
         self.errands.retain(|it| it.until > now);
+        if !out.changes.is_empty() {
+            self.push_news(&mut out);
+        }
         if now >= self.probed + self.config.interval {
             self.probed = now;
             self.probe(now, &mut out);
--- a/crates/edge/src/contract.rs
+++ b/crates/edge/src/contract.rs
@@ -13,6 +13,9 @@
 //! | `SELECT group_follow(term, 'addr')` | replicate from there, dropping what that log doesn't hold |
 //! | `SELECT group_entry(lsn)` | the position, its `received` being the entry's term and position |
 //!
+//! The log of each term, the first one's too, begins with an entry of that term; until a majority has it,
+//! nothing is answered.
+//!
 //! A fence, and following another server, end every connection that has run anything but the above, as the
 //! restart does that a demotion takes. A write that the network held back can therefore not run in a later
 //! term of the same server: the scenario `late-write` doubled one before this was asked for.
--- a/crates/edge/src/operator.rs
+++ b/crates/edge/src/operator.rs
@@ -22,6 +22,10 @@
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<Vec<InstanceStatus>>;
 
+    /// The report of this instance alone.
+    #[method(name = "report")]
+    async fn report(&self) -> RpcResult<InstanceStatus>;
+
     /// Makes a plan from an intent; nothing changes yet.
     #[method(name = "propose")]
     async fn propose(&self, operator: Name, intent: Intent) -> RpcResult<Plan>;
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -64,6 +64,8 @@
     pub addr: SocketAddr,
     /// Parameters the server reported.
     pub params: Vec<(Name, Name)>,
+    /// Bytes sent and received in exchanges.
+    pub traffic: u64,
     /// The caller's settings in force; `None` when they are not known.
     pub settings: Option<Vec<(Name, Name)>>,
 }
@@ -138,7 +140,7 @@
                 _ => {}
             }
         }
-        Ok(Upstream { reader, writer, cancel, addr, params, settings: Some(Vec::new()) })
+        Ok(Upstream { reader, writer, cancel, addr, params, traffic: 0, settings: Some(Vec::new()) })
     }
 
     /// Whether the server has closed the connection or sent something unasked while it was idle.
@@ -158,11 +160,13 @@
     /// The connection is unusable after an error, or when the call is cancelled.
     pub async fn run(&mut self, frames: &[u8], answers: usize, max: usize) -> Result<Vec<Answer>, Broken> {
         let peer = self.reader.peer().clone();
+        self.traffic += frames.len() as u64;
         let sent = self.writer.write_all(frames).await;
         sent.context(IoSnafu { step: Step::Send, peer }).map_err(|error| Broken { sent: true, error })?;
         let mut out = Vec::with_capacity(answers);
         for _ in 0..answers {
             let it = self.answer(max).await.map_err(|error| Broken { sent: true, error })?;
+            self.traffic += it.frames.len() as u64;
             out.push(it);
         }
         Ok(out)
--- a/crates/pondtrack/src/main.rs
+++ b/crates/pondtrack/src/main.rs
@@ -1,2 +1,7 @@
-//! The program `pondtrack`: the operator's command line.
-fn main() {}
+//! The program `pondtrack`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    pondtrack::main()
+}
--- a/crates/pondtrackd/src/control.rs
+++ b/crates/pondtrackd/src/control.rs
@@ -35,6 +35,7 @@
 /// What an operator asks.
 enum Call {
     Status(oneshot::Sender<Vec<InstanceStatus>>),
+    Report(oneshot::Sender<InstanceStatus>),
     Propose(Name, Intent, oneshot::Sender<Result<Plan, Refusal>>),
     Confirm(Name, Name, oneshot::Sender<Result<Plan, Refusal>>),
     Abort(Name, Name, oneshot::Sender<Result<Plan, Refusal>>),
@@ -64,6 +65,7 @@
         tokio::task::spawn_local(async move {
             match call {
                 Call::Status(send) => drop(send.send(status(&node).await)),
+                Call::Report(send) => drop(send.send(report(&node))),
                 Call::Propose(who, intent, send) => {
                     drop(send.send(planner::propose(&node, who, intent).await))
                 }
@@ -106,6 +108,10 @@
         self.ask(Call::Status).await
     }
 
+    async fn report(&self) -> RpcResult<InstanceStatus> {
+        self.ask(Call::Report).await
+    }
+
     async fn propose(&self, operator: Name, intent: Intent) -> RpcResult<Plan> {
         self.try_ask(|send| Call::Propose(operator, intent, send)).await
     }
--- a/crates/pondtrackd/src/home/mod.rs
+++ b/crates/pondtrackd/src/home/mod.rs
@@ -410,7 +410,9 @@
             _ => self.connect(node, server, limit).await?,
         };
         let sent = node.now();
+        let before = conn.traffic;
         let answer = conn.order(order, limit).await;
+        node.counters.add(crate::telemetry::Count::ServerOrderBytes, conn.traffic - before);
         if answer.as_ref().is_ok() || answer.as_ref().is_err_and(EdgeError::is_refusal) {
             *control = Some(conn);
         }
--- a/crates/pondtrackd/src/home/monitor.rs
+++ b/crates/pondtrackd/src/home/monitor.rs
@@ -102,7 +102,10 @@
         let limit = Duration::from_millis(u64::from(wait) + GRACE);
         let sent = node.now();
         node.count(Count::ServerOrders);
-        let position = match conn.order(order, limit).await {
+        let before = conn.traffic;
+        let answer = conn.order(order, limit).await;
+        node.counters.add(Count::ServerOrderBytes, conn.traffic - before);
+        let position = match answer {
             Ok(it) => it,
             Err(e) => return e.to_string(),
         };
--- a/crates/pondtrackd/src/home/pool.rs
+++ b/crates/pondtrackd/src/home/pool.rs
@@ -5,7 +5,7 @@
 
 use {
     super::{Home, monitor},
-    crate::node::Node,
+    crate::{node::Node, telemetry::Count},
     pondtrack_core::{
         Time,
         admit::{Admission, Admit, AdmitConfig},
@@ -201,10 +201,10 @@
         begins: bool,
     ) -> Result<Slot, Denied> {
         let now = node.now();
-        let overload = |retry_ms| Denied {
-            reason: "all connections to the database are taken".into(),
-            retry_ms,
-            overload: true,
+        let overload = |retry_ms| {
+            node.count(Count::Refused);
+            let reason = "all connections to the database are taken".into();
+            Denied { reason, retry_ms, overload: true }
         };
         let slot = |since| Slot { pool: self.clone(), node: node.clone(), since, begins, sampled: true };
         let ticket = match self.admission.borrow_mut().offer(now, caller, deadline, begins) {
--- a/crates/pondtrackd/src/telemetry.rs
+++ b/crates/pondtrackd/src/telemetry.rs
@@ -57,6 +57,8 @@
     UpstreamsRefused,
     /// Questions and orders to servers, watches among them.
     ServerOrders,
+    /// Bytes of these questions, orders and their answers.
+    ServerOrderBytes,
     /// Times this instance noticed that it had been paused.
     Pauses,
     /// Calls of the platform to read an object.
--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -323,9 +323,7 @@
 
     /// The report of one instance alone.
     pub async fn report(&self, n: usize) -> io::Result<InstanceStatus> {
-        let all = self.client(n)?.status().await.map_err(io::Error::other)?;
-        let name = &self.instances[n].name;
-        all.into_iter().find(|it| it.name == *name).ok_or_else(|| io::Error::other("no report"))
+        self.client(n)?.report().await.map_err(io::Error::other)
     }
 
     /// A client of an instance's operator interface.
--- a/crates/testbed/src/db/mod.rs
+++ b/crates/testbed/src/db/mod.rs
@@ -97,7 +97,7 @@
         std::fs::create_dir_all(&config.data).ok();
         let mut store = Store::open(&config.data.join("db.sqlite"))?;
         let saved = store.load(config.primary, config.follow)?;
-        Ok(Rc::new(Server {
+        let it = Rc::new(Server {
             config,
             contract: RefCell::new(saved.contract),
             entries: RefCell::new(saved.entries),
@@ -114,7 +114,15 @@
             live: RefCell::default(),
             cancels: RefCell::default(),
             next: Cell::new(1),
-        }))
+        });
+        let begins = it.contract.borrow().role == Role::Primary && it.contract.borrow().log.is_empty();
+        if begins {
+            // Each term's log begins with an entry of that term, the first one's too.
+            it.contract.borrow_mut().append();
+            it.begin_term();
+            it.save();
+        }
+        Ok(it)
     }
 
     /// The position as it is shown.
@@ -168,17 +176,23 @@
     /// Becomes the primary of a term; the log begins with an entry of that term.
     pub fn promote(&self, term: Term) -> Result<(), String> {
         let appended = self.contract.borrow_mut().promote(term).map_err(|e| e.to_string())?;
-        if let Some(lsn) = appended {
-            self.apply_all();
-            let entry = Arc::new(Entry { lsn, term, body: Vec::new() });
-            self.store.borrow_mut().receive(std::slice::from_ref(&entry)).expect("the stand-in's disk works");
-            self.entries.borrow_mut().push(entry);
+        if appended.is_some() {
             self.apply_all();
+            self.begin_term();
         }
         self.save();
         Ok(())
     }
 
+    /// Writes the first entry of a term, which the contract has appended.
+    fn begin_term(&self) {
+        let Mark { term, lsn } = self.contract.borrow().last();
+        let entry = Arc::new(Entry { lsn, term, body: Vec::new() });
+        self.store.borrow_mut().receive(std::slice::from_ref(&entry)).expect("the stand-in's disk works");
+        self.entries.borrow_mut().push(entry);
+        self.apply_all();
+    }
+
     /// Replicates from another server.
     pub fn follow(&self, term: Term, from: SocketAddr) -> Result<(), String> {
         self.contract.borrow_mut().follow(term).map_err(|e| e.to_string())?;
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -9,14 +9,22 @@
 //! | [`cluster`] | a whole system |
 //! | [`caller`] | callers over the stock client library |
 //! | [`demo`] | a first look, in one process |
+//! | [`load`], [`history`] | a seeded load, its record and the checkers |
+//! | [`measure`] | a deployment under load and failures |
+//! | [`fleet`], [`ceiling`] | what control costs many instances, and statements cost one |
 //! | [`model`] | the exhaustive walk over gate and switch |
 //! | [`scenario`] | the small test language |
 
 pub mod caller;
+pub mod ceiling;
 pub mod cluster;
 pub mod db;
 pub mod demo;
+pub mod fleet;
+pub mod history;
 pub mod launch;
+pub mod load;
+pub mod measure;
 pub mod model;
 pub mod platform;
 pub mod relay;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -9,7 +9,11 @@
         time::Duration,
     },
     testbed::{
-        db, demo,
+        ceiling,
+        cluster::Deployment,
+        db, demo, fleet,
+        history::Violations,
+        measure,
         model::{self, Bounds},
         platform,
     },
@@ -55,6 +59,66 @@
     /// An instance: the same as pondtrackd
     #[bpaf(command)]
     Instance(#[bpaf(external(pondtrackd::settings::settings_parser))] pondtrackd::Settings),
+    /// A deployment under load and failures; prints its figures as JSON
+    #[bpaf(command)]
+    Measure {
+        /// waterworks or porting
+        #[bpaf(long, argument("NAME"))]
+        deployment: String,
+        /// Seed of the load
+        #[bpaf(long, argument("N"), fallback(1))]
+        seed: u64,
+        /// How often it is run, with the next seeds
+        #[bpaf(long, argument("N"), fallback(1))]
+        runs: u64,
+        /// What is done and when, such as "kill:0@3000 restore@6000 end@8000", in ms after the warm-up
+        #[bpaf(long, argument("ACTS"), fallback(measure::SCHEDULE.to_owned()))]
+        schedule: String,
+        /// Also runs the plain alternative: no waiting for a majority, no reads on replicas
+        #[bpaf(long)]
+        baseline: bool,
+        /// Draws the gap and the share over time into this file, as SVG
+        #[bpaf(long, argument("FILE"))]
+        plot: Option<PathBuf>,
+        /// Writes the recorded history into this file, a JSON object a line
+        #[bpaf(long, argument("FILE"))]
+        history: Option<PathBuf>,
+    },
+    /// Many instances: what control costs each, and how soon things spread; a JSON line a size
+    #[bpaf(command)]
+    Fleet {
+        /// Sizes, such as 8,16,32,64
+        #[bpaf(long, argument("N,N"), fallback("8,16,32,64".to_owned()))]
+        instances: String,
+        /// Groups; a quarter of the instances when left out
+        #[bpaf(long, argument("N"))]
+        databases: Option<usize>,
+        /// Instances killed and restarted every ten seconds
+        #[bpaf(long, argument("N"), fallback(0))]
+        churn: usize,
+        /// A zone's instances are killed at once in the end
+        #[bpaf(long)]
+        kill_zone: bool,
+        /// How peers for news are chosen: uniform or groups
+        #[bpaf(long, argument("CHOICE"), fallback("uniform".to_owned()))]
+        spread: String,
+        /// How long control is measured, in seconds
+        #[bpaf(long, argument("S"), fallback(20))]
+        window: u64,
+    },
+    /// One instance's ceiling against a plain relay of bytes; prints JSON
+    #[bpaf(command)]
+    Ceiling,
+    /// A plain relay of bytes, for comparison
+    #[bpaf(command)]
+    Pipe {
+        /// Where it listens
+        #[bpaf(long, argument("ADDR"))]
+        listen: SocketAddr,
+        /// The server
+        #[bpaf(long, argument("ADDR"))]
+        target: SocketAddr,
+    },
     /// The exhaustive walk over gate, switch, fencing, promotion and rejoining
     #[bpaf(command)]
     Model {
@@ -95,6 +159,20 @@
             serve(db::serve(config, say_ready))
         }
         Command::Instance(settings) => pondtrackd::program::main(settings),
+        Command::Measure { deployment, seed, runs, schedule, baseline, plot, history } => {
+            work(measured(deployment, seed, runs, schedule, baseline, plot, history))
+        }
+        Command::Fleet { instances, databases, churn, kill_zone, spread, window } => {
+            let window = Duration::from_secs(window);
+            let options = fleet::Options { instances: 0, databases, churn, kill_zone, spread, window };
+            work(fleets(instances, options))
+        }
+        Command::Ceiling => work(async {
+            let it = ceiling::run().await?;
+            println!("{}", serde_json::to_string(&it).map_err(std::io::Error::other)?);
+            Ok(true)
+        }),
+        Command::Pipe { listen, target } => serve(ceiling::pipe(listen, target, say_ready)),
         Command::Model { switches, switches2, writes, writes2, stale, states } => {
             let bounds = Bounds {
                 switches: [switches, switches2],
@@ -111,6 +189,56 @@
     }
 }
 
+async fn fleets(sizes: String, options: fleet::Options) -> std::io::Result<bool> {
+    for it in sizes.split(',') {
+        let instances = it.trim().parse().map_err(std::io::Error::other)?;
+        let it = fleet::run(&fleet::Options { instances, ..options.clone() }).await?;
+        println!("{}", serde_json::to_string(&it).map_err(std::io::Error::other)?);
+    }
+    Ok(true)
+}
+
+async fn measured(
+    deployment: String,
+    seed: u64,
+    runs: u64,
+    schedule: String,
+    baseline: bool,
+    plot: Option<PathBuf>,
+    history: Option<PathBuf>,
+) -> std::io::Result<bool> {
+    let deployment = match deployment.as_str() {
+        "waterworks" => Deployment::waterworks(),
+        "porting" => Deployment::porting(),
+        other => {
+            let text = format!("--deployment {other:?} is not accepted; it takes waterworks or porting");
+            return Err(std::io::Error::other(text));
+        }
+    };
+    let schedule = measure::schedule(&schedule).map_err(std::io::Error::other)?;
+    let mut clean = true;
+    for seed in seed..seed + runs {
+        let deployment = deployment.clone();
+        let options = measure::Options {
+            deployment,
+            seed,
+            schedule: schedule.clone(),
+            plot: plot.clone(),
+            history: history.clone(),
+        };
+        if baseline {
+            let mut plain = options.clone();
+            plain.deployment.flags = ["--gate", "off", "--replica-reads", "off"].map(str::to_owned).to_vec();
+            let it = measure::run(&plain).await?;
+            println!("baseline {}", serde_json::to_string(&it).map_err(std::io::Error::other)?);
+        }
+        let it = measure::run(&options).await?;
+        clean &= it.violations == Violations::default();
+        println!("{}", serde_json::to_string(&it).map_err(std::io::Error::other)?);
+    }
+    Ok(clean)
+}
+
 fn say_ready(addr: SocketAddr) {
     println!("ready addr={addr}");
 }
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -453,6 +453,30 @@
         Ok(if found { "explained\n".to_owned() } else { "not explained\n".to_owned() })
     }
 
+    /// The operator's command line; `$plan` stands for the plan that was made last.
+    fn cli(&mut self, args: &mut ArgumentConsumer<'_>) -> Result<String> {
+        let (at, line) = (positional(args)?.to_owned(), positional(args)?.to_owned());
+        let cluster = self.cluster()?;
+        let n = instance(cluster, &at)?;
+        let addr = cluster.instances[n].control.ok_or("the instance is down")?.to_string();
+        let plan = self.text("$plan").unwrap_or_default();
+        let line = line.replace("$plan", &plan);
+        let mut words = vec!["--at", addr.as_str(), "--operator", "ann", "--colour", "never"];
+        words.extend(line.split_whitespace());
+        let options =
+            pondtrack::command::options().run_inner(words.as_slice()).map_err(|e| format!("{e:?}"))?;
+        let out = match self.runtime.block_on(pondtrack::run::run(&options)) {
+            Ok(it) => it,
+            Err(e) => e.render(),
+        };
+        if let Some(name) = out.strip_prefix("plan ").and_then(|it| it.split(' ').next()) {
+            self.keep("$plan", name.to_owned());
+        }
+        let plan = self.text("$plan").unwrap_or_default();
+        let shown = if plan.is_empty() { out } else { out.replace(&plan, "$plan") };
+        Ok(without_numbers(&shown))
+    }
+
     fn pause(&mut self, args: &mut ArgumentConsumer<'_>) -> Result<String> {
         let ms: u64 = positional(args)?.parse()?;
         self.runtime.block_on(async { sleep(Duration::from_millis(ms)).await });
@@ -494,6 +518,7 @@
             "race" => self.race(&mut args),
             "counter" => self.counter(&mut args),
             "explain" => self.explain(&mut args),
+            "cli" => self.cli(&mut args),
             "pause" => self.pause(&mut args),
             other => Err(format!("there is no command {other}").into()),
         }?;
@@ -561,5 +586,13 @@
 }
 
 fn without_numbers(text: &str) -> String {
-    text.chars().map(|c| if c.is_ascii_digit() { '#' } else { c }).collect()
+    let mut out = String::with_capacity(text.len());
+    for c in text.chars() {
+        match c.is_ascii_digit() {
+            true if out.ends_with('#') => {}
+            true => out.push('#'),
+            false => out.push(c),
+        }
+    }
+    out
 }
