--- a/crates/pondtrackd/src/entry/session.rs
+++ b/crates/pondtrackd/src/entry/session.rs
@@ -29,6 +29,7 @@
         io::AsyncWriteExt,
         net::tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
+    tracing::Instrument,
 };
 
 /// Longest batch, as a multiple of the longest message.
@@ -318,23 +319,20 @@
         let req = self.request(&batch, class, !sets.is_empty(), trace);
         let aged = req.age_ms.is_some() && class == Class::Read;
         let at = self.handle.home.clone();
+        let span = tracing::debug_span!("entry", trace, caller = self.caller.as_str(), %class);
         let Forwarded { reply, home } = match self.home.clone().filter(|_| self.txn() != TxnState::Idle) {
             Some(home) => {
                 *at.borrow_mut() = Some(home.clone());
-                forward::send_pinned(&self.node, req, &home).await
+                forward::send_pinned(&self.node, req, &home).instrument(span).await
+            }
+            None => {
+                let note = |it: &Name| *at.borrow_mut() = Some(it.clone());
+                forward::send(&self.node, req, &note).instrument(span).await
             }
-            None => forward::send(&self.node, req, &|it| *at.borrow_mut() = Some(it.clone())).await,
         };
         *at.borrow_mut() = None;
-        tracing::debug!(
-            target: "span",
-            hop = "entry",
-            trace,
-            caller = self.caller.as_str(),
-            home = home.as_ref().map_or("", |it| it.as_str()),
-            %class,
-            took_ms = self.node.now() - began,
-        );
+        let from = home.as_ref().map_or("", |it| it.as_str());
+        tracing::debug!(trace, home = from, took_ms = self.node.now() - began, "entry answered");
         match reply.outcome {
             Outcome::Done => {
                 self.mark.raise(reply.mark);
--- a/crates/pondtrackd/src/entry/startup.rs
+++ b/crates/pondtrackd/src/entry/startup.rs
@@ -152,7 +152,7 @@
 }
 
 /// Reads pairs of texts, each ended by a zero byte, and a last zero byte.
-fn parameters(body: &[u8]) -> Result<BTreeMap<String, String>, SqlError> {
+pub fn parameters(body: &[u8]) -> Result<BTreeMap<String, String>, SqlError> {
     let bad = |why: &str| SqlError::fatal("08P01", format!("a bad startup packet: {why}"));
     let text = std::str::from_utf8(body).map_err(|_| bad("it is not UTF-8"))?;
     let text = text.strip_suffix('\0').ok_or_else(|| bad("it is cut short"))?;
@@ -215,7 +215,7 @@
 }
 
 /// Reads `-c name=value` and `--name=value` pairs of the options parameter.
-fn options(text: &str) -> Result<Vec<(String, String)>, SqlError> {
+pub fn options(text: &str) -> Result<Vec<(String, String)>, SqlError> {
     let mut out = Vec::new();
     let mut words = text.split_whitespace();
     while let Some(it) = words.next() {
--- /dev/null
+++ b/crates/pondtrackd/src/home/exec/mod.rs
@@ -0,0 +1,383 @@
+//! A request from its arrival to its answer.
+//!
+//! Every batch travels between two looks at the server's position, in the same round trip. What the
+//! looks show decides whether the answer may be given: a replica has to have reached the session's mark
+//! in its term, a primary has to be the same before and after, and a majority has to hold what the
+//! answer stands for.
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | `read` | reads outside a transaction |
+//! | `write` | writes outside a transaction, and the gate |
+//! | `resolve` | commits whose term ended |
+//! | `once` | keyed statements and transactions |
+//! | `transaction` | batches of an open transaction |
+
+mod once;
+mod read;
+mod resolve;
+mod transaction;
+mod write;
+
+use {
+    super::{
+        Home, StreamId,
+        pool::{Denied, Lease},
+    },
+    crate::{
+        node::Node,
+        telemetry::{self, Count},
+    },
+    bytes::BytesMut,
+    pondtrack_core::{Time, retry::Backoff},
+    pondtrack_edge::{
+        contract::{Order, POSITION, Position, Role},
+        upstream::{self, Answer},
+    },
+    pondtrack_proto::{Class, Mark, Name, Outcome, Reply, Request, Served, TxnState},
+    std::{rc::Rc, time::Duration},
+    tokio::{sync::Notify, time::timeout},
+    tracing::Instrument,
+};
+
+/// When to come back after a request met no primary, in milliseconds.
+const RETRY_MS: u32 = 250;
+/// Time for a cancel request to a server.
+const CANCEL_LIMIT: Duration = Duration::from_millis(500);
+/// Most attempts of one request.
+const ATTEMPTS: usize = 8;
+/// First and longest wait before another attempt, in milliseconds.
+const BACKOFF: (u64, u64) = (10, 160);
+
+/// A transaction between two batches.
+pub struct Pinned {
+    lease: Lease,
+    server: usize,
+    /// The key that its commit records.
+    key: Option<Name>,
+    /// Whether the caller was told that the transaction has failed.
+    failed: bool,
+}
+
+/// A batch that ran.
+#[derive(Debug)]
+pub struct Ran {
+    frames: Vec<u8>,
+    txn: TxnState,
+    mark: Mark,
+    served: Served,
+}
+
+impl Ran {
+    /// The recorded outcome of an earlier run.
+    pub fn repeated(frames: Vec<u8>) -> Ran {
+        Ran { frames, txn: TxnState::Idle, mark: Mark::default(), served: Served::Primary }
+    }
+}
+
+/// Why a batch has no answer of its own.
+#[derive(Debug)]
+pub enum Fail {
+    /// The final outcome.
+    Outcome(Outcome),
+    /// Provably unrun, and worth another attempt, maybe on another server.
+    Again {
+        /// Why.
+        reason: Name,
+        /// The server that failed.
+        server: Option<usize>,
+    },
+    /// It may have run: the connection broke after it was sent.
+    Broken {
+        /// Why.
+        reason: Name,
+        /// The position just before it, if known.
+        before: Option<Position>,
+    },
+}
+
+/// The parts of one exchange with a server.
+struct Exchange {
+    before: Option<Position>,
+    extra: Vec<Answer>,
+    answer: Answer,
+    after: Option<Position>,
+}
+
+/// What a request is run with.
+struct Task<'a> {
+    node: &'a Rc<Node>,
+    home: &'a Rc<Home>,
+    req: &'a Request,
+    deadline: Time,
+    cancel: &'a Notify,
+}
+
+/// Runs a request of a session.
+pub async fn execute(node: &Rc<Node>, home: &Rc<Home>, from: &Name, req: Request) -> Reply {
+    let span =
+        tracing::debug_span!("home", trace = req.trace, group = home.group.as_str(), class = %req.class);
+    perform(node, home, from, req).instrument(span).await
+}
+
+async fn perform(node: &Rc<Node>, home: &Rc<Home>, from: &Name, req: Request) -> Reply {
+    let id: StreamId = (from.clone(), req.stream);
+    let (pinned, cancel) = home.enter(&id);
+    let began = node.now();
+    let deadline = began + Time::from(req.left_ms);
+    let task = Task { node, home, req: &req, deadline, cancel: &cancel };
+    let (out, kept) = match (pinned, req.class) {
+        (Some(it), _) => task.in_transaction(it).await,
+        // It must not run on its own what was meant for a transaction that is gone.
+        (None, _) if req.pinned => {
+            let reason = "the transaction was lost with its connection".into();
+            (Err(Fail::Again { reason, server: None }), None)
+        }
+        (None, Class::Read) => (task.read().await, None),
+        (None, _) => task.write().await,
+    };
+    // Dropped when the session was closed meanwhile: the server rolls its transaction back.
+    drop(home.leave(&id, kept));
+    let reply = answer(node, home, &req, out);
+    tracing::debug!(trace = req.trace, served = %reply.served, took_ms = node.now() - began, "home answered");
+    reply
+}
+
+fn answer(node: &Node, home: &Home, req: &Request, out: Result<Ran, Fail>) -> Reply {
+    let id = req.id;
+    let reply = |outcome| Reply {
+        id,
+        outcome,
+        mark: Mark::default(),
+        txn: TxnState::Idle,
+        served: Served::None,
+        frames: Vec::new(),
+    };
+    match out {
+        Ok(it) => {
+            home.budget.borrow_mut().earn();
+            if req.class == Class::Read {
+                count_read(node, it.served);
+            }
+            Reply { mark: it.mark, txn: it.txn, served: it.served, frames: it.frames, ..reply(Outcome::Done) }
+        }
+        Err(Fail::Outcome(it)) => reply(it),
+        Err(Fail::Again { reason, .. }) => reply(Outcome::NotRun { reason, retry_ms: RETRY_MS }),
+        Err(Fail::Broken { reason, .. }) => reply(Outcome::Unknown { reason }),
+    }
+}
+
+fn count_read(node: &Node, served: Served) {
+    match served {
+        Served::Replica => node.count(Count::ReplicaReads),
+        Served::Primary => node.count(Count::PrimaryReads),
+        Served::None => {}
+    }
+    let (replica, primary) = (node.counters.get(Count::ReplicaReads), node.counters.get(Count::PrimaryReads));
+    telemetry::replica_share(replica as f64 / (replica + primary).max(1) as f64);
+}
+
+impl Task<'_> {
+    /// Takes a retry from the budget and waits a little, unless another server can be asked `at_once`.
+    async fn may_retry(&self, backoff: &mut Backoff, at_once: bool) -> bool {
+        if !self.home.budget.borrow_mut().spend() {
+            return false;
+        }
+        if !at_once {
+            let ms = self.node.with_rng(|rng| backoff.next(rng));
+            let changed = self.home.changed.notified();
+            let _ = timeout(Duration::from_millis(ms).min(self.left()), changed).await;
+        }
+        !self.left().is_zero()
+    }
+
+    async fn primary(&self) -> Result<usize, Fail> {
+        if !self.home.primary_is_near(self.node) && self.home.primary().is_some() && self.others_near().await
+        {
+            // The primary is well, but not within reach from here.
+            let outcome =
+                Outcome::NotRun { reason: "the primary can't be reached from this home".into(), retry_ms: 0 };
+            return Err(Fail::Outcome(outcome));
+        }
+        let it = self.home.wait_primary(self.node, self.deadline).await;
+        it.ok_or_else(|| Fail::Again { reason: "the group has no usable primary".into(), server: None })
+    }
+
+    /// Whether this home has been spoken against lately: another one hears the primary.
+    async fn others_near(&self) -> bool {
+        let lost = self.home.lost.get();
+        let limit = self.node.settings.silence_ms * 3;
+        lost.is_some_and(|at| self.node.now().saturating_sub(at) > limit)
+    }
+
+    async fn lend_primary(&self) -> Result<(usize, Lease), Fail> {
+        let server = self.primary().await?;
+        let lease = self.lend(server).await.map_err(|e| denied(&e))?;
+        Ok((server, lease))
+    }
+
+    async fn lend(&self, server: usize) -> Result<Lease, Denied> {
+        let begins = self.req.class == Class::Begin;
+        let pool = &self.home.servers[server].pool;
+        pool.lend(self.node, self.home, server, &self.req.caller, self.deadline, begins).await
+    }
+
+    /// Runs the caller's messages with the session's settings, between two looks at the position.
+    ///
+    /// `heads` are queries that go before the caller's messages; their answers are handed back apart.
+    async fn run(
+        &self,
+        lease: &mut Lease,
+        order: Option<Order>,
+        frames: &[u8],
+        heads: &[&BytesMut],
+    ) -> Result<Exchange, Fail> {
+        let mut out = BytesMut::with_capacity(frames.len() + 256);
+        let mut set = 0;
+        if lease.conn().settings.as_ref() != Some(&self.req.settings) {
+            set = put_settings(&self.req.settings, &mut out);
+        }
+        if let Some(it) = order {
+            upstream::put_query(&it.query(), &mut out);
+        }
+        let mut extra = 0;
+        for it in heads {
+            extra += pondtrack_edge::Frames::new(it).count();
+            out.extend_from_slice(it);
+        }
+        out.extend_from_slice(frames);
+        upstream::put_query(POSITION, &mut out);
+        let looks = usize::from(order.is_some());
+        let total = set + looks + extra + 1 + 1;
+        let sent = self.node.now();
+        let answers = self.exchange(lease, &out, total).await?;
+        lease.conn().settings = (!self.req.sets).then(|| self.req.settings.clone());
+        let mut rest = answers.into_iter().skip(set);
+        let before =
+            if looks == 1 { rest.next().and_then(|it| Position::from_answer(&it.frames)) } else { None };
+        let extra: Vec<Answer> = rest.by_ref().take(extra).collect();
+        let answer = rest.next().unwrap_or_default();
+        let after = rest.next().and_then(|it| Position::from_answer(&it.frames));
+        if let Some(it) = after {
+            // Every answer is evidence, as good as that of a watch.
+            self.home.saw(self.node, lease.server, it, sent);
+            lease.known = (it.role == Role::Primary).then_some(it);
+        }
+        Ok(Exchange { before, extra, answer, after })
+    }
+
+    /// Runs queries of pondtrack's own; the last answer is the one that counts.
+    async fn run_tail(&self, lease: &mut Lease, queries: &BytesMut, n: usize) -> Result<Exchange, Fail> {
+        let mut out = BytesMut::new();
+        upstream::put_query(POSITION, &mut out);
+        out.extend_from_slice(queries);
+        upstream::put_query(POSITION, &mut out);
+        let answers = self.exchange(lease, &out, n + 2).await?;
+        let position = |it: Option<&Answer>| it.and_then(|it| Position::from_answer(&it.frames));
+        let before = position(answers.first());
+        let after = position(answers.last());
+        let mut extra = answers;
+        extra.pop();
+        let answer = extra.pop().unwrap_or_default();
+        Ok(Exchange { before, extra, answer, after })
+    }
+
+    /// Sends and reads, bounded in time, ended by a cancel request of the caller.
+    async fn exchange(&self, lease: &mut Lease, out: &BytesMut, n: usize) -> Result<Vec<Answer>, Fail> {
+        let max = self.node.settings.max_answer_bytes;
+        let server = lease.server;
+        let left = self.left();
+        // What was last seen of the server before anything was sent.
+        let seen = self.home.servers[server].view.borrow().position;
+        let before = lease.known.or(seen.filter(|it| it.role == Role::Primary));
+        let broken = |reason: String| Fail::Broken { reason: reason.into(), before };
+        let conn = lease.conn();
+        let (addr, key) = (conn.addr, conn.cancel.clone());
+        let span = tracing::debug_span!("upstream", trace = self.req.trace, server, peer = %addr);
+        let work = conn.run(out, n, max).instrument(span);
+        tokio::pin!(work);
+        let done = tokio::select! {
+            it = timeout(left, &mut work) => it,
+            () = self.superseded(server, before) => {
+                return Err(broken("the primary was superseded while this ran".to_owned()));
+            }
+            () = self.cancel.notified() => {
+                let peer = self.home.group.clone();
+                let bind = self.node.settings.bind;
+                let _ = upstream::cancel(bind, addr, key.clone(), CANCEL_LIMIT, &peer).await;
+                // The server answers with an error, or with the result if it was quicker.
+                timeout(self.left(), &mut work).await
+            }
+        };
+        match done {
+            Ok(Ok(it)) => Ok(it),
+            Ok(Err(e)) => Err(broken(e.error.to_string())),
+            Err(_) => {
+                let peer = self.home.group.clone();
+                let bind = self.node.settings.bind;
+                tokio::task::spawn_local(async move {
+                    let _ = upstream::cancel(bind, addr, key, CANCEL_LIMIT, &peer).await;
+                });
+                Err(broken(format!("no answer within {} ms", left.as_millis())))
+            }
+        }
+    }
+
+    /// Waits until another server leads a later term: nothing more is to be expected of this one.
+    async fn superseded(&self, server: usize, before: Option<Position>) {
+        let Some(before) = before else { return std::future::pending().await };
+        loop {
+            let changed = self.home.changed.notified();
+            let moved = self.home.gate.borrow().term() > before.term;
+            if moved && self.home.primary().is_some_and(|it| it != server) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn finish(&self, lease: Lease, txn: TxnState) {
+        if txn == TxnState::Idle {
+            lease.give_back();
+        }
+    }
+
+    fn left(&self) -> Duration {
+        Duration::from_millis(self.deadline.saturating_sub(self.node.now()))
+    }
+}
+
+/// The fingerprint under which transactions stand in the ledger.
+const TRANSACTION: &str = "transaction";
+
+/// The mark an answer of the primary stands for; none unless it led the same term before and after.
+fn same_primary(it: &Exchange) -> Option<Mark> {
+    let (before, after) = (it.before?, it.after?);
+    let leads = before.role == Role::Primary && after.role == Role::Primary && before.term == after.term;
+    leads.then_some(after.received)
+}
+
+fn denied(it: &Denied) -> Fail {
+    match it.overload {
+        true => Fail::Outcome(Outcome::NotRun { reason: it.reason.clone(), retry_ms: it.retry_ms }),
+        false => Fail::Again { reason: it.reason.clone(), server: None },
+    }
+}
+
+/// Appends the queries that bring a connection's settings to those wanted; hands back their number.
+fn put_settings(settings: &[(Name, Name)], out: &mut BytesMut) -> usize {
+    upstream::put_query("RESET ALL", out);
+    for (name, value) in settings {
+        let value = value.replace('\'', "''");
+        upstream::put_query(&format!("SET {name} = '{value}'"), out);
+    }
+    settings.len() + 1
+}
+
+/// Turns the last ready-for-query into one outside a transaction.
+fn ready_idle(mut frames: Vec<u8>) -> Vec<u8> {
+    if let Some(last) = frames.last_mut() {
+        *last = b'I';
+    }
+    frames
+}
--- /dev/null
+++ b/crates/pondtrackd/src/home/exec/resolve.rs
@@ -0,0 +1,102 @@
+//! What became of a commit whose term ended before its acknowledgement.
+
+use {
+    super::{Exchange, Fail, Ran, Task},
+    crate::home::{
+        Gated, ORDER_LIMIT,
+        keyed::{self, Recorded},
+    },
+    bytes::BytesMut,
+    pondtrack_core::request_key,
+    pondtrack_edge::{
+        contract::{Order, Position},
+        upstream,
+    },
+    pondtrack_proto::{Lsn, Mark, Name, Served, TxnState},
+};
+
+impl Task<'_> {
+    /// A commit was answered, but its term ended before a majority was known to hold it: asks the next
+    /// primary's log, which is final, whether it lasted.
+    pub(super) async fn resolve(&self, it: Exchange) -> Result<Ran, Fail> {
+        let unknown = |reason: &str| Fail::Broken { reason: reason.into(), before: it.before };
+        let Some(before) = it.before else {
+            return Err(unknown("the position before the write is not known"));
+        };
+        let after = it.after.filter(|p| p.received.term == before.term);
+        let Some(primary) = self.home.wait_primary(self.node, self.deadline).await else {
+            return Err(unknown("no primary can tell whether the write lasted"));
+        };
+        let first = Lsn(before.received.lsn.0 + 1);
+        let now = self.home.servers[primary].view.borrow().position;
+        let Some(now) = now.filter(|p| p.term > before.term) else {
+            return Err(unknown("the next primary is not known"));
+        };
+        // What the new log holds is final once a majority holds the first entry of its term.
+        let settled = Mark { term: now.term, lsn: now.received.lsn };
+        if self.home.gated(self.node, settled, self.deadline).await != Gated::Open {
+            return Err(unknown("the next primary was superseded in turn"));
+        }
+        let entry = |lsn| self.home.order(self.node, primary, Order::Entry(lsn), ORDER_LIMIT);
+        if let Some(end) = after
+            && entry(end.received.lsn).await.is_ok_and(|p| p.received.term == before.term)
+        {
+            let mark = Mark { term: now.term, lsn: end.received.lsn };
+            let served = Served::Primary;
+            return Ok(Ran { frames: it.answer.frames, txn: TxnState::Idle, mark, served });
+        }
+        match entry(first).await {
+            // Nothing after the position before the write is in the log: neither is the write.
+            Ok(p) if p.received.term != before.term => {
+                Err(Fail::Again { reason: "the write was dropped with its primary".into(), server: None })
+            }
+            _ => Err(unknown("other writes of that moment lasted, this one may not have")),
+        }
+    }
+
+    /// A commit was never answered. It lasted only if the next primary's log, which is final, holds an
+    /// entry of its term after the position known before it was sent; without any it did not run.
+    pub(super) async fn resolve_unanswered(&self, reason: Name, before: Position) -> Result<Ran, Fail> {
+        let unknown = || Fail::Broken { reason: reason.clone(), before: Some(before) };
+        let primary = self.home.wait_primary(self.node, self.deadline).await.ok_or_else(unknown)?;
+        let now = self.home.servers[primary].view.borrow().position;
+        let now = now.filter(|it| it.term > before.term).ok_or_else(unknown)?;
+        let settled = Mark { term: now.term, lsn: now.received.lsn };
+        if self.home.gated(self.node, settled, self.deadline).await != Gated::Open {
+            return Err(unknown());
+        }
+        let next = Order::Entry(Lsn(before.received.lsn.0 + 1));
+        match self.home.order(self.node, primary, next, ORDER_LIMIT).await {
+            Ok(it) if it.received.term != before.term => Err(Fail::Again { reason, server: None }),
+            _ => Err(unknown()),
+        }
+    }
+
+    /// The answer to a commit was lost: the ledger knows, if the transaction had a key.
+    pub(super) async fn commit_lost(
+        &self,
+        key: Option<Name>,
+        reason: Name,
+        before: Option<Position>,
+    ) -> Result<Ran, Fail> {
+        let Some(key) = key else { return Err(Fail::Broken { reason, before }) };
+        let (server, mut lease) =
+            self.lend_primary().await.map_err(|_| Fail::Broken { reason: reason.clone(), before })?;
+        let mut find = BytesMut::new();
+        upstream::put_query(&request_key::find(&key), &mut find);
+        let it = self.run_tail(&mut lease, &find, 1).await?;
+        let found = keyed::recorded(&it.answer).is_some_and(|it| it.tag == "COMMIT");
+        let later = it.after.map(|p| p.term) > before.map(|p| p.term) && before.is_some();
+        let (out, _) = self.acknowledge(server, lease, it, None).await;
+        match out {
+            Ok(ran) if found => {
+                let recorded = Recorded { request: String::new(), tag: "COMMIT".to_owned() };
+                let frames = keyed::repeat(&self.req.frames, &recorded);
+                Ok(Ran { frames, mark: ran.mark, ..Ran::repeated(Vec::new()) })
+            }
+            // A later term's log is final; in the same term the commit may still be on its way.
+            Ok(_) if later => Err(Fail::Again { reason, server: None }),
+            _ => Err(Fail::Broken { reason, before }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pondtrackd/src/home/exec/transaction.rs
@@ -0,0 +1,95 @@
+//! Batches of a transaction that is open.
+
+use {
+    super::{Exchange, Fail, Pinned, Ran, Task, same_primary},
+    crate::home::{Gated, keyed, pool::Lease},
+    bytes::BytesMut,
+    pondtrack_core::request_key,
+    pondtrack_edge::{contract::Order, upstream},
+    pondtrack_proto::{Class, Mark, Name, Served, TxnState},
+};
+
+impl Task<'_> {
+    /// A batch of a transaction that is open.
+    pub(super) async fn in_transaction(
+        &self,
+        mut pinned: Box<Pinned>,
+    ) -> (Result<Ran, Fail>, Option<Box<Pinned>>) {
+        pinned.lease.resume();
+        if pinned.lease.conn().is_stale() {
+            // Nothing of this batch was sent, and the server rolls back what it was sent before.
+            let reason = "the server ended the connection".into();
+            return (Err(Fail::Again { reason, server: None }), None);
+        }
+        let commits = self.req.class == Class::Commit;
+        let mut head = BytesMut::new();
+        if let Some(key) = pinned.key.as_ref().filter(|_| commits) {
+            upstream::put_query(&request_key::record(key, "COMMIT"), &mut head);
+        }
+        let heads: &[&BytesMut] = if head.is_empty() { &[] } else { &[&head] };
+        let order = Some(Order::Position);
+        let it = match self.run(&mut pinned.lease, order, &self.req.frames, heads).await {
+            Ok(it) => it,
+            Err(Fail::Broken { reason, before }) if commits => {
+                let key = pinned.key.clone();
+                drop(pinned);
+                let out = match (key, before) {
+                    (None, Some(before)) => self.resolve_unanswered(reason, before).await,
+                    (key, before) => self.commit_lost(key, reason, before).await,
+                };
+                return (out, None);
+            }
+            Err(Fail::Broken { reason, .. }) => {
+                // The commit was never sent, so the server rolls back.
+                return (Err(Fail::Again { reason, server: None }), None);
+            }
+            Err(e) => return (Err(e), None),
+        };
+        let Pinned { lease, server, key, failed: told } = *pinned;
+        let rolled_back = it.answer.txn == TxnState::Idle && keyed::tag(&it.answer) == "ROLLBACK";
+        if commits && rolled_back && !told {
+            // A fence ends transactions between two statements; a caller may not look at the tag.
+            let reason = "the server rolled the transaction back".into();
+            return (Err(Fail::Again { reason, server: None }), None);
+        }
+        let failed = it.answer.error.is_some() || rolled_back;
+        if !commits || failed {
+            return self.go_on(server, lease, it, key).await;
+        }
+        self.acknowledge(server, lease, it, key).await
+    }
+
+    /// Goes on inside a transaction, or after its end without a commit.
+    pub(super) async fn go_on(
+        &self,
+        server: usize,
+        mut lease: Lease,
+        it: Exchange,
+        key: Option<Name>,
+    ) -> (Result<Ran, Fail>, Option<Box<Pinned>>) {
+        let txn = it.answer.txn;
+        let failed = it.answer.error.is_some();
+        let lost = || Err(Fail::Again { reason: "the primary was superseded".into(), server: None });
+        let shown = match same_primary(&it) {
+            Some(mark) if !failed => match self.home.gated(self.node, mark, self.deadline).await {
+                Gated::Open => mark,
+                _ => return (lost(), None),
+            },
+            // An error shows no rows.
+            Some(_) => Mark::default(),
+            None => return (lost(), None),
+        };
+        let ran = Ran { frames: it.answer.frames, txn, mark: shown, served: Served::Primary };
+        match txn {
+            TxnState::Idle => {
+                self.finish(lease, txn);
+                (Ok(ran), None)
+            }
+            TxnState::Open | TxnState::Failed => {
+                lease.pin();
+                let failed = txn == TxnState::Failed;
+                (Ok(ran), Some(Box::new(Pinned { lease, server, key, failed })))
+            }
+        }
+    }
+}
--- a/crates/pondtrackd/src/telemetry.rs
+++ b/crates/pondtrackd/src/telemetry.rs
@@ -73,23 +73,30 @@
     PlatformInstances,
 }
 
-/// The counters of one instance.
-#[derive(Debug, Default)]
+/// The counters of one instance, sorted, each with its metric.
+#[derive(Default)]
 pub struct Counters {
-    list: RefCell<Vec<(Count, u64)>>,
+    list: RefCell<Vec<(Count, u64, metrics::Counter)>>,
 }
 
 impl Counters {
     /// Adds to a counter.
     pub fn add(&self, what: Count, n: u64) {
         let mut list = self.list.borrow_mut();
-        match list.binary_search_by_key(&what, |it| it.0) {
-            Ok(at) => list[at].1 += n,
-            Err(at) => list.insert(at, (what, n)),
-        }
-        drop(list);
-        let name: &'static str = what.into();
-        metrics::counter!(metric(name)).increment(n);
+        let at = list.binary_search_by_key(&what, |it| it.0).unwrap_or_else(|at| {
+            // Looked up once: most counters are on the path of every statement.
+            let name: &'static str = what.into();
+            list.insert(at, (what, 0, metrics::counter!(metric(name))));
+            at
+        });
+        list[at].1 += n;
+        list[at].2.increment(n);
+    }
+
+    /// A counter's value.
+    pub fn get(&self, what: Count) -> u64 {
+        let list = self.list.borrow();
+        list.binary_search_by_key(&what, |it| it.0).map_or(0, |at| list[at].1)
     }
 
     /// Adds one to a counter.
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -11,7 +11,7 @@
 //! | [`demo`] | a first look, in one process |
 //! | [`load`], [`history`] | a seeded load, its record and the checkers |
 //! | [`measure`] | a deployment under load and failures |
-//! | [`fleet`], [`ceiling`] | what control costs many instances, and statements cost one |
+//! | [`fleet`], [`ceiling`], [`overload`] | what control costs many instances, statements cost one, and too many callers do |
 //! | [`model`] | the exhaustive walk over gate and switch |
 //! | [`scenario`] | the small test language |
 
@@ -26,6 +26,7 @@
 pub mod load;
 pub mod measure;
 pub mod model;
+pub mod overload;
 pub mod platform;
 pub mod relay;
 pub mod scenario;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -15,7 +15,7 @@
         history::Violations,
         measure,
         model::{self, Bounds},
-        platform,
+        overload, platform,
     },
 };
 
@@ -109,6 +109,9 @@
     /// One instance's ceiling against a plain relay of bytes; prints JSON
     #[bpaf(command)]
     Ceiling,
+    /// 1, 2, 10 and 50 times the callers that a group's connections can serve; a JSON line each
+    #[bpaf(command)]
+    Overload,
     /// A plain relay of bytes, for comparison
     #[bpaf(command)]
     Pipe {
@@ -172,6 +175,12 @@
             println!("{}", serde_json::to_string(&it).map_err(std::io::Error::other)?);
             Ok(true)
         }),
+        Command::Overload => work(async {
+            for it in overload::run().await? {
+                println!("{}", serde_json::to_string(&it).map_err(std::io::Error::other)?);
+            }
+            Ok(true)
+        }),
         Command::Pipe { listen, target } => serve(ceiling::pipe(listen, target, say_ready)),
         Command::Model { switches, switches2, writes, writes2, stale, states } => {
             let bounds = Bounds {
