Admission: what could not be done in time is refused before it begins

Cause: a request was admitted whenever its turn came before its deadline, and cut by it while it ran; as it may have run it was answered as unknown. Ruled out: the server (its statements take 10 ms as ordered) and the relay. Change: a turn ends with a refusal at once when the time left is shorter than what requests take; the same at the offer.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -35,6 +35,15 @@
     },
 }
 
+/// The end of a request's wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turn {
+    /// Its ticket.
+    pub ticket: u64,
+    /// Whether it has a slot; otherwise it could not be done in time any longer, and is refused now.
+    pub admitted: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Waiting {
     ticket: u64,
@@ -96,7 +105,7 @@
             return Admit::Run;
         }
         let wait = self.expected_wait();
-        if self.queued >= self.config.queue || now + wait > deadline {
+        if self.queued >= self.config.queue || now + wait + self.expected_service() > deadline {
             return Admit::Refuse { retry_ms: wait.clamp(10, 30_000) as u32 };
         }
         let ticket = self.next;
@@ -110,10 +119,10 @@
         Admit::Wait(ticket)
     }
 
-    /// A request has ended; hands back the tickets that now have a slot.
+    /// A request has ended; hands back the waits that end with it.
     ///
     /// `took` is its time in milliseconds; none for a transaction, whose time is its caller's own.
-    pub fn done(&mut self, now: Time, took: Option<u64>, began: bool) -> Vec<u64> {
+    pub fn done(&mut self, now: Time, took: Option<u64>, began: bool) -> Vec<Turn> {
         self.running = self.running.saturating_sub(1);
         if began {
             self.pinned = self.pinned.saturating_sub(1);
@@ -125,12 +134,12 @@
         self.fill(now)
     }
 
-    /// Hands back the tickets that have a slot now, as after a change of the limit.
-    pub fn fill(&mut self, now: Time) -> Vec<u64> {
+    /// Hands back the waits that end now, as after a change of the limit.
+    pub fn fill(&mut self, now: Time) -> Vec<Turn> {
         let mut out = Vec::new();
-        while let Some(it) = self.pop(now) {
+        while let Some(it) = self.pop(now, &mut out) {
             self.start(it.begins);
-            out.push(it.ticket);
+            out.push(Turn { ticket: it.ticket, admitted: true });
         }
         out
     }
@@ -152,6 +161,11 @@
         ((self.queued + 1) as f64 * self.service / slots).ceil() as u64
     }
 
+    /// How long a request takes once it has a slot, in milliseconds.
+    fn expected_service(&self) -> u64 {
+        self.service.ceil() as u64
+    }
+
     fn has_slot(&self, begins: bool) -> bool {
         let limit = self.limiter.limit();
         let free = self.running < limit;
@@ -165,13 +179,15 @@
         self.pinned += usize::from(begins);
     }
 
-    /// The next request by turns among the callers; those too late are left to their own timers.
-    fn pop(&mut self, now: Time) -> Option<Waiting> {
+    /// The next request by turns among the callers; those that could not be done in time are refused now,
+    /// rather than begun and cut.
+    fn pop(&mut self, now: Time, out: &mut Vec<Turn>) -> Option<Waiting> {
+        let end = now + self.expected_service();
         for _ in 0..self.lines.len() {
             let mut line = self.lines.pop_front()?;
-            while line.waiting.front().is_some_and(|it| it.deadline < now) {
-                line.waiting.pop_front();
+            while let Some(it) = line.waiting.pop_front_if(|it| it.deadline < end) {
                 self.queued -= 1;
+                out.push(Turn { ticket: it.ticket, admitted: false });
             }
             let fits = line.waiting.front().is_some_and(|it| self.has_slot(it.begins));
             let it = if fits { line.waiting.pop_front() } else { None };
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -2,7 +2,7 @@
 
 use {
     pondtrack_core::{
-        admit::{Admission, Admit, AdmitConfig},
+        admit::{Admission, Admit, AdmitConfig, Turn},
         classify::{Stmt, classify},
         detect::{Cause, DetectConfig, Detector, Heard, Opinion},
         place,
@@ -196,7 +196,7 @@
     assert!(matches!(it.offer(0, &modest, 1_000, false), Admit::Refuse { .. }), "the queue is full");
     assert_eq!(it.done(10, Some(10), false).len(), 1);
     // The second turn is the other caller's, although two of the first one came before.
-    assert_eq!(it.done(20, Some(10), false), [other]);
+    assert_eq!(it.done(20, Some(10), false), [Turn { ticket: other, admitted: true }]);
     assert_eq!(waits.len(), 3);
     for _ in 0..100 {
         it.done(30, Some(400), false);
@@ -210,6 +210,21 @@
     assert!(matches!(slow.offer(0, &modest, 5, false), Admit::Refuse { retry_ms } if retry_ms >= 10));
 }
 
+#[test]
+fn what_could_not_be_done_in_time_is_refused_before_it_begins() {
+    let mut it = Admission::new(AdmitConfig { queue: 100, reserve: 0 }, 1);
+    let name = Name::from("a");
+    for _ in 0..200 {
+        it.offer(0, &name, 1_000, false);
+        it.done(0, Some(20), false);
+    }
+    assert_eq!(it.offer(0, &name, 1_000, false), Admit::Run);
+    let Admit::Wait(ticket) = it.offer(0, &name, 100, false) else { panic!("it waits") };
+    // It is its turn at 90, but a request takes 20: begun, it would be cut at its deadline, its fate unknown.
+    assert_eq!(it.done(90, None, false), [Turn { ticket, admitted: false }]);
+    assert_eq!((it.running(), it.queued()), (0, 0));
+}
+
 #[test]
 fn idle_transactions_leave_a_slot_free() {
     let mut it = Admission::new(AdmitConfig { queue: 10, reserve: 1 }, 3);
--- a/crates/pondtrackd/src/home/pool.rs
+++ b/crates/pondtrackd/src/home/pool.rs
@@ -8,7 +8,7 @@
     crate::{node::Node, telemetry::Count},
     pondtrack_core::{
         Time,
-        admit::{Admission, Admit, AdmitConfig},
+        admit::{Admission, Admit, AdmitConfig, Turn},
         life::{self, ConnEvent, ConnState},
         retry::Backoff,
     },
@@ -25,13 +25,15 @@
     },
 };
 
+/// When to come back after a wait that was too long, in milliseconds.
+const LATE_RETRY_MS: u32 = 50;
 /// Time to open a connection.
 const OPEN_LIMIT: Duration = Duration::from_millis(500);
 
 /// The connections to one server.
 pub struct Pool {
     admission: RefCell<Admission>,
-    waiting: RefCell<Vec<(u64, oneshot::Sender<()>)>>,
+    waiting: RefCell<Vec<(u64, oneshot::Sender<bool>)>>,
     idle: RefCell<Vec<Upstream>>,
     lent: Cell<u32>,
     share: Cell<u32>,
@@ -218,11 +220,11 @@
         let left = Duration::from_millis(deadline.saturating_sub(now));
         let woken = timeout(left, receive).await;
         match woken {
-            Ok(Ok(())) => {
+            Ok(Ok(true)) => {
                 guard.ticket = None;
                 Ok(slot(node.now()))
             }
-            _ => Err(overload(50)),
+            _ => Err(overload(LATE_RETRY_MS)),
         }
     }
 
@@ -257,13 +259,13 @@
         }
     }
 
-    fn wake(&self, tickets: Vec<u64>) {
-        for it in tickets {
+    fn wake(&self, turns: Vec<Turn>) {
+        for it in turns {
             let mut waiting = self.waiting.borrow_mut();
-            let found = waiting.iter().position(|w| w.0 == it);
+            let found = waiting.iter().position(|w| w.0 == it.ticket);
             if let Some(at) = found {
                 let (_, send) = waiting.swap_remove(at);
-                let _ = send.send(());
+                let _ = send.send(it.admitted);
             }
         }
     }
