--- a/crates/pondtrackd/src/home/exec/resolve.rs
+++ b/crates/pondtrackd/src/home/exec/resolve.rs
@@ -24,19 +24,8 @@
             return Err(unknown("the position before the write is not known"));
         };
         let after = it.after.filter(|p| p.received.term == before.term);
-        let Some(primary) = self.home.wait_primary(self.node, self.deadline).await else {
-            return Err(unknown("no primary can tell whether the write lasted"));
-        };
         let first = Lsn(before.received.lsn.0 + 1);
-        let now = self.home.servers[primary].view.borrow().position;
-        let Some(now) = now.filter(|p| p.term > before.term) else {
-            return Err(unknown("the next primary is not known"));
-        };
-        // What the new log holds is final once a majority holds the first entry of its term.
-        let settled = Mark { term: now.term, lsn: now.received.lsn };
-        if self.home.gated(self.node, settled, self.deadline).await != Gated::Open {
-            return Err(unknown("the next primary was superseded in turn"));
-        }
+        let (primary, now) = self.later_primary(&before).await.map_err(unknown)?;
         let entry = |lsn| self.home.order(self.node, primary, Order::Entry(lsn), ORDER_LIMIT);
         if let Some(end) = after
             && entry(end.received.lsn).await.is_ok_and(|p| p.received.term == before.term)
@@ -58,13 +47,7 @@
     /// entry of its term after the position known before it was sent; without any it did not run.
     pub(super) async fn resolve_unanswered(&self, reason: Name, before: Position) -> Result<Ran, Fail> {
         let unknown = || Fail::Broken { reason: reason.clone(), before: Some(before) };
-        let primary = self.home.wait_primary(self.node, self.deadline).await.ok_or_else(unknown)?;
-        let now = self.home.servers[primary].view.borrow().position;
-        let now = now.filter(|it| it.term > before.term).ok_or_else(unknown)?;
-        let settled = Mark { term: now.term, lsn: now.received.lsn };
-        if self.home.gated(self.node, settled, self.deadline).await != Gated::Open {
-            return Err(unknown());
-        }
+        let (primary, _) = self.later_primary(&before).await.map_err(|_| unknown())?;
         let next = Order::Entry(Lsn(before.received.lsn.0 + 1));
         match self.home.order(self.node, primary, next, ORDER_LIMIT).await {
             Ok(it) if it.received.term != before.term => Err(Fail::Again { reason, server: None }),
@@ -72,6 +55,20 @@
         }
     }
 
+    /// The primary of a later term, once what its log holds is final: a majority holds the first entry of
+    /// its term.
+    async fn later_primary(&self, before: &Position) -> Result<(usize, Position), &'static str> {
+        let primary = self.home.wait_primary(self.node, self.deadline).await;
+        let primary = primary.ok_or("no primary can tell whether the write lasted")?;
+        let now = self.home.servers[primary].view.borrow().position;
+        let now = now.filter(|it| it.term > before.term).ok_or("the next primary is not known")?;
+        let settled = Mark { term: now.term, lsn: now.received.lsn };
+        match self.home.gated(self.node, settled, self.deadline).await {
+            Gated::Open => Ok((primary, now)),
+            Gated::Broken | Gated::Late => Err("the next primary was superseded in turn"),
+        }
+    }
+
     /// The answer to a commit was lost: the ledger knows, if the transaction had a key.
     pub(super) async fn commit_lost(
         &self,
--- a/crates/pondtrackd/src/home/monitor.rs
+++ b/crates/pondtrackd/src/home/monitor.rs
@@ -17,12 +17,11 @@
     tokio::time::{sleep, timeout},
 };
 
-/// The longest wait of a question to the primary from the first home, in milliseconds.
-const CLOSE: u32 = 150;
-/// The same from other homes.
-const DISTANT: u32 = 450;
-/// The longest wait of a question to a replica.
-const REPLICA: u32 = 1_000;
+/// The longest wait of a question to the primary from other homes than the first, as a multiple of the
+/// setting.
+const DISTANT: u32 = 3;
+/// The longest wait of a question to a replica, as a multiple of the setting.
+const REPLICA: u32 = 7;
 /// The longest time between two answers of a healthy server, beyond the wait itself, in milliseconds.
 const SLACK: u64 = 100;
 /// Extra time for an answer.
@@ -53,14 +52,19 @@
     }
 }
 
-/// The longest wait of a question to the primary.
-fn primary_wait(home: &Home) -> u32 {
-    if home.rank.get() == 0 { CLOSE } else { DISTANT }
+/// The longest wait of a question, in milliseconds.
+fn longest_wait(node: &Node, home: &Home, leads: bool) -> u32 {
+    let factor = match (leads, home.rank.get()) {
+        (true, 0) => 1,
+        (true, _) => DISTANT,
+        (false, _) => REPLICA,
+    };
+    node.settings.watch_ms * factor
 }
 
 /// How long a healthy server may stay unheard, in milliseconds.
 pub fn unheard(node: &Node, home: &Home, leads: bool) -> u64 {
-    let wait = if leads { primary_wait(home) } else { REPLICA };
+    let wait = longest_wait(node, home, leads);
     (u64::from(wait) + SLACK).max(node.settings.silence_ms)
 }
 
@@ -91,11 +95,7 @@
     let mut first = true;
     while !home.closing.get() {
         let leads = home.primary() == Some(server);
-        let wait = match (first, leads) {
-            (true, _) => 0,
-            (_, true) => primary_wait(home),
-            _ => REPLICA,
-        };
+        let wait = if first { 0 } else { longest_wait(node, home, leads) };
         // Each commit tells the primary's position; only a change of term or role matters here.
         let (received, applied) = if leads { (ANY, ANY) } else { (known.1, known.2) };
         let order = Order::Watch { term: known.0, received, applied, ms: wait };
--- a/crates/pondtrackd/src/settings.rs
+++ b/crates/pondtrackd/src/settings.rs
@@ -84,6 +84,10 @@
     /// Silence after which a primary is given up, in milliseconds
     #[bpaf(long, env("PONDTRACK_SILENCE_MS"), argument("MS"), fallback(450))]
     pub silence_ms: u64,
+    /// How long an unchanged primary may keep the first home's question, in milliseconds; other homes and
+    /// replicas are asked more rarely in proportion
+    #[bpaf(long, env("PONDTRACK_WATCH_MS"), argument("MS"), fallback(150))]
+    pub watch_ms: u32,
     /// Between two probes of other instances, in milliseconds
     #[bpaf(long, env("PONDTRACK_PROBE_MS"), argument("MS"), fallback(1_000))]
     pub probe_ms: u64,
@@ -172,6 +176,9 @@
         if !(100..=60_000).contains(&self.silence_ms) {
             return fail("silence-ms", &self.silence_ms, "100 to 60000");
         }
+        if !(20..=20_000).contains(&self.watch_ms) || u64::from(self.watch_ms) * 2 > self.silence_ms {
+            return fail("watch-ms", &self.watch_ms, "20 to 20000, at most half of --silence-ms");
+        }
         if !(50..=60_000).contains(&self.probe_ms) {
             return fail("probe-ms", &self.probe_ms, "50 to 60000");
         }
--- a/crates/pondtrackd/tests/settings.rs
+++ b/crates/pondtrackd/tests/settings.rs
@@ -45,6 +45,7 @@
 #[case(&["--request-ms", "1"], "--request-ms \"1\"")]
 #[case(&["--silence-ms", "5"], "--silence-ms \"5\"")]
 #[case(&["--probe-ms", "1"], "--probe-ms \"1\"")]
+#[case(&["--watch-ms", "400"], "--watch-ms \"400\"")]
 #[case(&["--max-message-bytes", "10"], "--max-message-bytes \"10\"")]
 #[case(&["--max-answer-bytes", "10"], "--max-answer-bytes \"10\"")]
 #[case(&["--max-sessions", "0"], "--max-sessions \"0\"")]
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -43,6 +43,8 @@
     pub spread: String,
     /// How long control is measured.
     pub window: Duration,
+    /// How long an unchanged primary may keep a question, in milliseconds; see `pondtrackd --watch-ms`.
+    pub watch: u64,
 }
 
 /// What one size gives.
@@ -94,6 +96,7 @@
     folder: PathBuf,
     http: reqwest::Client,
     spread: String,
+    watch: u64,
 }
 
 impl Drop for Fleet {
@@ -141,6 +144,7 @@
             folder,
             http,
             spread: options.spread.clone(),
+            watch: options.watch,
         };
         for n in 0..databases {
             it.add_group(n).await?;
@@ -203,6 +207,8 @@
         flag("control-listen", any);
         flag("platform", self.url()?);
         flag("spread", self.spread.clone());
+        flag("watch-ms", self.watch.to_string());
+        flag("silence-ms", (self.watch * 3).to_string());
         flag("log", "error".to_owned());
         for it in self.members.iter().filter_map(|it| it.process.as_ref()).take(2) {
             flag("seed", it.addr("peers")?.to_string());
@@ -335,28 +341,11 @@
         for n in 0..CHANGES {
             let name = &self.groups[n % self.groups.len()];
             let url = format!("{}/objects/group/{name}", self.url()?);
-            let it: Object = self
-                .http
-                .get(&url)
-                .send()
-                .await
-                .map_err(io::Error::other)?
-                .json()
-                .await
-                .map_err(io::Error::other)?;
+            let it = object(self.http.get(&url)).await?;
             let mut spec: GroupSpec = it.read().map_err(io::Error::other)?;
             spec.policy = ReadPolicy::MaxAge { ms: 1_000 + n as u32 };
             let put = format!("{url}?expected={}", it.version);
-            let now: Object = self
-                .http
-                .put(put)
-                .json(&spec)
-                .send()
-                .await
-                .map_err(io::Error::other)?
-                .json()
-                .await
-                .map_err(io::Error::other)?;
+            let now = object(self.http.put(put).json(&spec)).await?;
             let up = self.up().len();
             let took = self
                 .until(|all| {
@@ -455,6 +444,12 @@
     }
 }
 
+/// Sends a request to the platform and reads the object it answers with.
+async fn object(request: reqwest::RequestBuilder) -> io::Result<Object> {
+    let answer = request.send().await.map_err(io::Error::other)?;
+    answer.json().await.map_err(io::Error::other)
+}
+
 /// Processor time of a process so far, in seconds.
 pub fn cpu_seconds(pid: u32) -> Option<f64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -105,6 +105,9 @@
         /// How long control is measured, in seconds
         #[bpaf(long, argument("S"), fallback(20))]
         window: u64,
+        /// How long an unchanged primary may keep a question, in milliseconds
+        #[bpaf(long, argument("MS"), fallback(150))]
+        watch: u64,
     },
     /// One instance's ceiling against a plain relay of bytes; prints JSON
     #[bpaf(command)]
@@ -165,9 +168,9 @@
         Command::Measure { deployment, seed, runs, schedule, baseline, plot, history } => {
             work(measured(deployment, seed, runs, schedule, baseline, plot, history))
         }
-        Command::Fleet { instances, databases, churn, kill_zone, spread, window } => {
+        Command::Fleet { instances, databases, churn, kill_zone, spread, window, watch } => {
             let window = Duration::from_secs(window);
-            let options = fleet::Options { instances: 0, databases, churn, kill_zone, spread, window };
+            let options = fleet::Options { instances: 0, databases, churn, kill_zone, spread, window, watch };
             work(fleets(instances, options))
         }
         Command::Ceiling => work(async {
