One way to give an answer of the primary

The transaction and the write each decided whether a connection goes back or stays; one function does.

--- a/crates/pondtrackd/src/home/exec/mod.rs
+++ b/crates/pondtrackd/src/home/exec/mod.rs
@@ -347,6 +347,25 @@
     }
 }
 
+/// Gives an answer of the primary: its connection goes back, or stays with the transaction.
+fn give(
+    server: usize,
+    mut lease: Lease,
+    answer: Answer,
+    mark: Mark,
+    key: Option<Name>,
+) -> (Result<Ran, Fail>, Option<Box<Pinned>>) {
+    let txn = answer.txn;
+    let ran = Ran { frames: answer.frames, txn, mark, served: Served::Primary };
+    if txn == TxnState::Idle {
+        lease.give_back();
+        return (Ok(ran), None);
+    }
+    lease.pin();
+    let failed = txn == TxnState::Failed;
+    (Ok(ran), Some(Box::new(Pinned { lease, server, key, failed })))
+}
+
 /// The fingerprint under which transactions stand in the ledger.
 const TRANSACTION: &str = "transaction";
 
--- a/crates/pondtrackd/src/home/exec/transaction.rs
+++ b/crates/pondtrackd/src/home/exec/transaction.rs
@@ -1,12 +1,12 @@
 //! Batches of a transaction that is open.
 
 use {
-    super::{Exchange, Fail, Pinned, Ran, Task, same_primary},
+    super::{Exchange, Fail, Pinned, Ran, Task, give, same_primary},
     crate::home::{Gated, keyed, pool::Lease},
     bytes::BytesMut,
     pondtrack_core::request_key,
     pondtrack_edge::{contract::Order, upstream},
-    pondtrack_proto::{Class, Mark, Name, Served, TxnState},
+    pondtrack_proto::{Class, Mark, Name, TxnState},
 };
 
 impl Task<'_> {
@@ -63,11 +63,10 @@
     pub(super) async fn go_on(
         &self,
         server: usize,
-        mut lease: Lease,
+        lease: Lease,
         it: Exchange,
         key: Option<Name>,
     ) -> (Result<Ran, Fail>, Option<Box<Pinned>>) {
-        let txn = it.answer.txn;
         let failed = it.answer.error.is_some();
         let lost = || Err(Fail::Again { reason: "the primary was superseded".into(), server: None });
         let shown = match same_primary(&it) {
@@ -79,17 +78,6 @@
             Some(_) => Mark::default(),
             None => return (lost(), None),
         };
-        let ran = Ran { frames: it.answer.frames, txn, mark: shown, served: Served::Primary };
-        match txn {
-            TxnState::Idle => {
-                self.finish(lease, txn);
-                (Ok(ran), None)
-            }
-            TxnState::Open | TxnState::Failed => {
-                lease.pin();
-                let failed = txn == TxnState::Failed;
-                (Ok(ran), Some(Box::new(Pinned { lease, server, key, failed })))
-            }
-        }
+        give(server, lease, it.answer, shown, key)
     }
 }
--- a/crates/pondtrackd/src/home/exec/write.rs
+++ b/crates/pondtrackd/src/home/exec/write.rs
@@ -1,11 +1,11 @@
 //! Writes outside a transaction, and the gate that every answer of the primary passes.
 
 use {
-    super::{ATTEMPTS, BACKOFF, Exchange, Fail, Pinned, Ran, Task, same_primary},
+    super::{ATTEMPTS, BACKOFF, Exchange, Fail, Pinned, Ran, Task, give, same_primary},
     crate::home::{Gated, keyed, pool::Lease},
     pondtrack_core::retry::Backoff,
     pondtrack_edge::contract::{Order, Role},
-    pondtrack_proto::{Class, Name, Served, TxnState},
+    pondtrack_proto::{Class, Name, TxnState},
 };
 
 impl Task<'_> {
@@ -66,7 +66,7 @@
     pub(super) async fn acknowledge(
         &self,
         server: usize,
-        mut lease: Lease,
+        lease: Lease,
         it: Exchange,
         key: Option<Name>,
     ) -> (Result<Ran, Fail>, Option<Box<Pinned>>) {
@@ -86,20 +86,7 @@
             return (out, None);
         };
         match self.home.gated(self.node, shown, self.deadline).await {
-            Gated::Open => {
-                let ran = Ran { frames: it.answer.frames, txn, mark: shown, served: Served::Primary };
-                match txn {
-                    TxnState::Idle => {
-                        self.finish(lease, txn);
-                        (Ok(ran), None)
-                    }
-                    TxnState::Open | TxnState::Failed => {
-                        lease.pin();
-                        let failed = txn == TxnState::Failed;
-                        (Ok(ran), Some(Box::new(Pinned { lease, server, key, failed })))
-                    }
-                }
-            }
+            Gated::Open => give(server, lease, it.answer, shown, key),
             Gated::Broken | Gated::Late if txn != TxnState::Idle || failed || !self.lasts() => {
                 (Err(Fail::Again { reason: "the primary was superseded".into(), server: None }), None)
             }
