Home: one question whether a server was heard lately

The look at the primary and the count of the other servers asked the same in two places; the view answers it.

--- a/crates/pondtrackd/src/home/failover.rs
+++ b/crates/pondtrackd/src/home/failover.rs
@@ -132,10 +132,7 @@
 /// stalled primary out can't succeed, and would only strand those it fences.
 fn others_suffice(node: &Node, home: &Home, primary: Option<usize>) -> bool {
     let limit = super::monitor::unheard(node, home, false);
-    let near = |n: &usize| {
-        let heard = home.servers[*n].view.borrow().heard;
-        heard.refused.is_none() && heard.last.is_some_and(|at| node.now().saturating_sub(at) < limit)
-    };
+    let near = |n: &usize| home.servers[*n].view.borrow().is_near(node.now(), limit);
     let others = (0..home.servers.len()).filter(|n| Some(*n) != primary).filter(near);
     others.count() >= home.spec.borrow().majority()
 }
--- a/crates/pondtrackd/src/home/mod.rs
+++ b/crates/pondtrackd/src/home/mod.rs
@@ -72,6 +72,12 @@
         waits.map_or(0, |at| now.saturating_sub(at.0))
     }
 
+    /// Whether the server was heard within a time, in milliseconds, and doesn't refuse connections.
+    pub fn is_near(&self, now: Time, limit: u64) -> bool {
+        let last = self.heard.last.is_some_and(|at| now.saturating_sub(at) < limit);
+        last && self.heard.refused.is_none()
+    }
+
     fn arrived(&mut self, now: Time, position: &Position) {
         let end = position.received.lsn;
         while self.arrivals.front().is_some_and(|it| it.1 <= position.applied) {
@@ -249,10 +255,7 @@
     /// Whether the primary has been heard lately.
     pub fn primary_is_near(&self, node: &Node) -> bool {
         let limit = monitor::unheard(node, self, true);
-        self.primary().is_some_and(|n| {
-            let heard = self.servers[n].view.borrow().heard;
-            heard.refused.is_none() && heard.last.is_some_and(|at| node.now().saturating_sub(at) < limit)
-        })
+        self.primary().is_some_and(|n| self.servers[n].view.borrow().is_near(node.now(), limit))
     }
 
     /// Waits for a primary that takes work, until a time.
