--- a/crates/core/src/fresh.rs
+++ b/crates/core/src/fresh.rs
@@ -3,11 +3,11 @@
 //! An answer of the primary to a question sent at time *s* shows a position *p*: everything acknowledged
 //! before *s* stands at or before *p*. A replica that has applied *p* is therefore as fresh as *s*, if
 //! the primary was still the primary then, which a majority confirms by naming the same term in answers
-//! to questions sent at *s* or later. Only this instance's monotonic clock is used.
+//! to questions sent at *s* or later. Only this instance's monotonic clock is used; its unit is the owner's.
 
 use {
     crate::Time,
-    pondtrack_proto::{Lsn, Term},
+    pondtrack_proto::{Lsn, Mark, Term},
     std::collections::VecDeque,
 };
 
@@ -19,7 +19,7 @@
 pub struct Freshness {
     quorum: usize,
     term: Term,
-    seen: VecDeque<(Time, Lsn)>,
+    seen: VecDeque<(Time, Mark)>,
     confirmed: Vec<Option<Time>>,
 }
 
@@ -29,28 +29,38 @@
         Freshness { quorum, term: Term(0), seen: VecDeque::new(), confirmed: vec![None; servers] }
     }
 
-    /// A server named `term` in the answer to a question sent at `sent`.
-    pub fn confirm(&mut self, server: usize, term: Term, sent: Time) {
+    /// A later term has begun: what was known of earlier ones no longer counts.
+    pub fn begin(&mut self, term: Term) {
         if term > self.term {
             self.term = term;
             self.confirmed.fill(None);
             self.seen.clear();
         }
+    }
+
+    /// A server named `term` in the answer to a question sent at `sent`.
+    pub fn confirm(&mut self, server: usize, term: Term, sent: Time) {
+        self.begin(term);
         if term == self.term {
             let it = &mut self.confirmed[server];
             *it = Some(it.map_or(sent, |old| old.max(sent)));
         }
     }
 
-    /// The primary of `term` showed the position `lsn` in the answer to a question sent at `sent`.
-    pub fn observe(&mut self, term: Term, lsn: Lsn, sent: Time) {
+    /// Makes room for another server of the group.
+    pub fn grow(&mut self, servers: usize) {
+        self.confirmed.resize(servers.max(self.confirmed.len()), None);
+    }
+
+    /// The primary of `term` showed the position `at` in the answer to a question sent at `sent`.
+    pub fn observe(&mut self, term: Term, at: Mark, sent: Time) {
         if term != self.term || self.seen.back().is_some_and(|it| it.0 > sent) {
             return;
         }
         match self.seen.back_mut() {
             // The same position seen later makes what holds it fresher.
-            Some(it) if it.1 == lsn => it.0 = sent,
-            _ => self.seen.push_back((sent, lsn)),
+            Some(it) if it.1 == at => it.0 = sent,
+            _ => self.seen.push_back((sent, at)),
         }
         if self.seen.len() > KEPT {
             self.seen.pop_front();
@@ -63,13 +73,25 @@
             return None;
         }
         let confirmed = self.confirmed_at()?;
-        let n = self.seen.partition_point(|it| it.1 <= applied);
+        let n = self.seen.partition_point(|it| it.1.lsn <= applied);
         let usable = self.seen.iter().take(n).rev();
         usable.map(|it| it.0).find(|at| *at <= confirmed)
     }
 
+    /// The lowest position that holds everything acknowledged before `since`, and when it was asked for.
+    pub fn needed(&self, since: Time) -> Option<(Time, Mark)> {
+        let confirmed = self.confirmed_at()?;
+        let n = self.seen.partition_point(|it| it.0 < since);
+        self.seen.get(n).filter(|it| it.0 <= confirmed).copied()
+    }
+
+    /// When the primary was last asked for its position, as far as it has answered.
+    pub fn observed_at(&self) -> Option<Time> {
+        self.seen.back().map(|it| it.0)
+    }
+
     /// The latest time at or after which a majority is known to have held the term.
-    fn confirmed_at(&self) -> Option<Time> {
+    pub fn confirmed_at(&self) -> Option<Time> {
         let mut times: Vec<Time> = self.confirmed.iter().flatten().copied().collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
         times.get(self.quorum - 1).copied()
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -43,6 +43,11 @@
         Gate { quorum, term: Term(0), logs: vec![Mark::default(); servers], held: Vec::new(), next: 0 }
     }
 
+    /// Makes room for another server of the group.
+    pub fn grow(&mut self, servers: usize) {
+        self.logs.resize(servers.max(self.logs.len()), Mark::default());
+    }
+
     /// The term whose commits it lets out.
     pub fn term(&self) -> Term {
         self.term
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 //! | --- | --- |
 //! | [`classify`] | what a statement needs |
 //! | [`route`] | which server answers a read |
+//! | [`balance`] | what a server costs at present |
 //! | [`place`] | home instances and their shares of connections |
 //! | [`admit`] | queues, fairness and learned limits |
 //! | [`retry`] | budgets and backoff |
@@ -33,6 +34,7 @@
 //! [`timer`], [`journal`].
 
 pub mod admit;
+pub mod balance;
 pub mod chart;
 pub mod classify;
 pub mod detect;
--- a/crates/core/tests/safety.rs
+++ b/crates/core/tests/safety.rs
@@ -129,8 +129,8 @@
     for server in 0..2 {
         it.confirm(server, Term(1), 100);
     }
-    it.observe(Term(1), Lsn(5), 50);
-    it.observe(Term(1), Lsn(10), 100);
+    it.observe(Term(1), Mark::new(1, 5), 50);
+    it.observe(Term(1), Mark::new(1, 10), 100);
     assert_eq!(it.as_of(Term(1), applied), as_of);
 }
 
@@ -139,10 +139,10 @@
     let mut it = Freshness::new(3, 2);
     it.confirm(0, Term(1), 100);
     it.confirm(1, Term(1), 100);
-    it.observe(Term(1), Lsn(5), 100);
+    it.observe(Term(1), Mark::new(1, 5), 100);
     // The primary goes on alone: nobody else confirms its term.
     it.confirm(0, Term(1), 900);
-    it.observe(Term(1), Lsn(6), 900);
+    it.observe(Term(1), Mark::new(1, 6), 900);
     assert_eq!(it.as_of(Term(1), Lsn(5)), Some(100));
     assert_eq!(it.as_of(Term(1), Lsn(6)), Some(100));
     it.confirm(1, Term(2), 950);
--- /dev/null
+++ b/crates/engine/src/conn.rs
@@ -0,0 +1,165 @@
+//! One connection to a server.
+
+use {
+    crate::{
+        model::{Answer, Code, Order, Server},
+        ports::{Dialect, WireError},
+        settings::OPEN_LIMIT,
+    },
+    bytes::BytesMut,
+    pondtrack_proto::Name,
+    snafu::{ResultExt, Snafu},
+    std::{
+        io,
+        net::{SocketAddr, SocketAddrV4},
+        rc::Rc,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::timeout,
+    },
+};
+
+/// The first size of a connection's buffer, in bytes: most answers are smaller.
+const BUFFER: usize = 2_048;
+
+/// Session values, sorted by name.
+pub type Values = Rc<Vec<(Name, Name)>>;
+
+/// Why an exchange with a server has no answer.
+#[derive(Debug, Snafu)]
+pub enum ConnError {
+    /// The connection isn't there.
+    #[snafu(display("{peer}: connect: {source}"))]
+    Connect {
+        /// The server.
+        peer: SocketAddrV4,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The server doesn't answer in time.
+    #[snafu(display("{peer}: open: no answer in time"))]
+    Silent {
+        /// The server.
+        peer: SocketAddrV4,
+    },
+    /// The server refuses the connection.
+    #[snafu(display("{peer}: open: refused as {code}"))]
+    Refused {
+        /// The server.
+        peer: SocketAddrV4,
+        /// Why.
+        code: Code,
+    },
+    /// The connection broke; what was sent may have run.
+    #[snafu(display("{peer}: exchange: {source}"))]
+    Broken {
+        /// The server.
+        peer: SocketAddrV4,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The server sent something else than an answer.
+    #[snafu(display("{peer}: exchange: {source}"))]
+    Wire {
+        /// The server.
+        peer: SocketAddrV4,
+        /// What is wrong with it.
+        source: WireError,
+    },
+}
+
+impl ConnError {
+    /// Whether the address shows that the server isn't there.
+    pub fn is_refusal(&self) -> bool {
+        match self {
+            ConnError::Connect { source, .. } => {
+                matches!(source.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
+            }
+            ConnError::Refused { code, .. } => *code == Code::WrongServer,
+            ConnError::Silent { .. } | ConnError::Broken { .. } | ConnError::Wire { .. } => false,
+        }
+    }
+}
+
+/// A connection to a server.
+#[derive(Debug)]
+pub struct Conn {
+    peer: SocketAddrV4,
+    stream: TcpStream,
+    buf: BytesMut,
+    /// The session values set on it; none when they are not known.
+    pub values: Option<Values>,
+    /// The names of statements prepared on it, sorted.
+    pub prepared: Vec<Name>,
+}
+
+impl Conn {
+    /// Opens a connection; the server has to have the id that its entry names.
+    pub async fn open(dialect: &dyn Dialect, server: &Server) -> Result<Conn, ConnError> {
+        let peer = server.addr;
+        timeout(OPEN_LIMIT, Conn::greet(dialect, server)).await.map_err(|_| ConnError::Silent { peer })?
+    }
+
+    async fn greet(dialect: &dyn Dialect, server: &Server) -> Result<Conn, ConnError> {
+        let peer = server.addr;
+        let stream = TcpStream::connect(SocketAddr::V4(peer)).await.context(ConnectSnafu { peer })?;
+        stream.set_nodelay(true).context(ConnectSnafu { peer })?;
+        let buf = BytesMut::with_capacity(BUFFER);
+        let mut it = Conn { peer, stream, buf, values: Some(Values::default()), prepared: Vec::new() };
+        let mut out = BytesMut::new();
+        dialect.open(&server.group, &server.id, &mut out);
+        it.send(&out).await?;
+        loop {
+            if let Some(answer) = dialect.opening(&mut it.buf).context(WireSnafu { peer })? {
+                return match answer.code() {
+                    None => Ok(it),
+                    Some(code) => Err(ConnError::Refused { peer, code }),
+                };
+            }
+            it.receive().await?;
+        }
+    }
+
+    /// Whether nothing says that the connection has ended; costs no system call while that is so.
+    pub fn is_alive(&self) -> bool {
+        let mut one = [0];
+        // Bytes that nobody asked for make it as useless as an end.
+        matches!(self.stream.try_read(&mut one), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+            && self.buf.is_empty()
+    }
+
+    /// Sends bytes.
+    pub async fn send(&mut self, out: &[u8]) -> Result<(), ConnError> {
+        self.stream.write_all(out).await.context(BrokenSnafu { peer: self.peer })
+    }
+
+    /// Waits for the next answer.
+    pub async fn next(&mut self, dialect: &dyn Dialect) -> Result<Answer, ConnError> {
+        loop {
+            let answer = dialect.answer(&mut self.buf).context(WireSnafu { peer: self.peer })?;
+            if let Some(it) = answer {
+                return Ok(it);
+            }
+            self.receive().await?;
+        }
+    }
+
+    /// Gives an order.
+    pub async fn order(&mut self, dialect: &dyn Dialect, order: &Order) -> Result<Answer, ConnError> {
+        let mut out = BytesMut::new();
+        dialect.order(order, None, &mut out);
+        self.send(&out).await?;
+        self.next(dialect).await
+    }
+
+    async fn receive(&mut self) -> Result<(), ConnError> {
+        self.buf.reserve(BUFFER / 2);
+        let n = self.stream.read_buf(&mut self.buf).await.context(BrokenSnafu { peer: self.peer })?;
+        match n {
+            0 => Err(io::Error::from(io::ErrorKind::UnexpectedEof)).context(BrokenSnafu { peer: self.peer }),
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/count.rs
@@ -0,0 +1,83 @@
+//! Counters and histograms.
+
+use {
+    std::{cell::RefCell, time::Duration},
+    strum::{Display, EnumIter, IntoStaticStr},
+};
+
+/// What is counted; the metric's name is `pondtrack_engine_` with the name below and `_total`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Count {
+    /// Sessions opened.
+    Sessions,
+    /// Statements that servers ran for callers.
+    Statements,
+    /// Reads answered by a replica.
+    ReplicaReads,
+    /// Reads answered by the primary.
+    PrimaryReads,
+    /// Statements tried again.
+    Retries,
+    /// Reads sent to a second server as the first was slow.
+    Hedges,
+    /// Statements answered as not run.
+    NotRun,
+    /// Statements answered as unknown.
+    Unknown,
+    /// Connections to servers opened.
+    Opened,
+    /// Connections that servers refused for their limit.
+    Refused,
+    /// Questions and orders to servers.
+    Orders,
+    /// Calls of the store.
+    StoreCalls,
+    /// Calls of the store without a result.
+    StoreFailures,
+    /// Promotions ordered.
+    Promotions,
+    /// Log lines that were left out.
+    LogsDropped,
+}
+
+/// The counters of an instance, sorted, each with its metric.
+#[derive(Default)]
+pub struct Counters {
+    list: RefCell<Vec<(Count, u64, metrics::Counter)>>,
+}
+
+impl Counters {
+    /// Adds one to a counter.
+    pub fn one(&self, what: Count) {
+        self.add(what, 1);
+    }
+
+    /// Adds to a counter.
+    pub fn add(&self, what: Count, n: u64) {
+        let mut list = self.list.borrow_mut();
+        let at = list.binary_search_by_key(&what, |it| it.0).unwrap_or_else(|at| {
+            // Looked up once: some counters are on the path of every statement.
+            list.insert(at, (what, 0, metrics::counter!(format!("pondtrack_engine_{what}_total"))));
+            at
+        });
+        list[at].1 += n;
+        list[at].2.increment(n);
+    }
+
+    /// A counter's value.
+    pub fn get(&self, what: Count) -> u64 {
+        let list = self.list.borrow();
+        list.binary_search_by_key(&what, |it| it.0).map_or(0, |at| list[at].1)
+    }
+}
+
+/// Records how long a statement took, in seconds.
+pub fn statement_time(took: Duration) {
+    metrics::histogram!("pondtrack_engine_statement_seconds").record(took);
+}
+
+/// Records how long a commit waited for a replica, in seconds.
+pub fn gate_time(took: Duration) {
+    metrics::histogram!("pondtrack_engine_gate_wait_seconds").record(took);
+}
--- /dev/null
+++ b/crates/engine/src/group.rs
@@ -0,0 +1,563 @@
+//! A group's servers, and what is known about them.
+//!
+//! Evidence is what a server showed in the answer to a question, as of the question's sending. A replica
+//! that receives in a term confirms that the term's primary had not been replaced at that time: whoever
+//! replaces it first stops all other replicas from receiving (see [`crate::takeover`]).
+
+use {
+    crate::{
+        count::Count,
+        instance::{Instance, Micros},
+        model::{Order, Role, Server, Status},
+        pool::{Denied, Pool, Want},
+        settings::{
+            ASK_OTHERS, ASK_WAIT, EVIDENCE_AGE, GATE_PAUSE, LAG_FACTOR, ORDER_LIMIT, PRIMARY_PAUSE,
+            UNREACHABLE_PAUSE,
+        },
+    },
+    pondtrack_core::{
+        balance::{Lag, Offer, Pace},
+        fresh::Freshness,
+        gate::Gate,
+    },
+    pondtrack_proto::{Lsn, Mark, Name, Term},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        sync::Notify,
+        time::{Instant, sleep, timeout},
+    },
+};
+
+/// Replicas that have to confirm a term, or hold a commit.
+const REPLICAS: usize = 1;
+
+/// A server of a group.
+pub struct Upstream {
+    /// Its place in the group's evidence.
+    pub index: usize,
+    /// Connections to it.
+    pub pool: Rc<Pool>,
+    entry: RefCell<Rc<Server>>,
+    status: Cell<Option<(Micros, Status)>>,
+    pace: Cell<Pace>,
+    lag: Cell<Lag>,
+    heard: Cell<Micros>,
+    silent: Cell<Option<Micros>>,
+    refused: Cell<Option<Micros>>,
+    avoid: Cell<Micros>,
+    missing: Cell<Option<Micros>>,
+    gone: Cell<bool>,
+    /// When the question that is out was sent.
+    asked: Cell<Option<Micros>>,
+    nudge: Notify,
+}
+
+impl Upstream {
+    /// Its entry in the directory.
+    pub fn entry(&self) -> Rc<Server> {
+        self.entry.borrow().clone()
+    }
+
+    /// What it last said about itself, and when it was asked.
+    pub fn status(&self) -> Option<(Micros, Status)> {
+        self.status.get()
+    }
+
+    /// When it last answered anything.
+    pub fn heard(&self) -> Micros {
+        self.heard.get()
+    }
+
+    /// Since when it owes an answer.
+    pub fn silent(&self) -> Option<Micros> {
+        self.silent.get()
+    }
+
+    /// Since when its address refuses connections.
+    pub fn refused(&self) -> Option<Micros> {
+        self.refused.get()
+    }
+
+    /// Whether it has left the directory for good.
+    pub fn is_gone(&self) -> bool {
+        self.gone.get()
+    }
+
+    /// It answered.
+    pub fn answered(&self, now: Micros) {
+        self.heard.set(now);
+        self.silent.set(None);
+        self.refused.set(None);
+    }
+
+    /// It took this long for a statement.
+    pub fn took(&self, took: Micros, now: Micros) {
+        let mut it = self.pace.get();
+        it.observe(took, now);
+        self.pace.set(it);
+    }
+
+    /// A question sent at this time has no answer.
+    pub fn unanswered(&self, sent: Micros) {
+        if self.silent.get().is_none() && self.heard.get() <= sent {
+            self.silent.set(Some(sent));
+        }
+    }
+
+    /// It can't be reached.
+    pub fn unreachable(&self, now: Micros, refused: bool) {
+        if refused && self.refused.get().is_none() {
+            self.refused.set(Some(now));
+        }
+        self.unanswered(now);
+        self.avoid.set(now + UNREACHABLE_PAUSE.as_micros() as Micros);
+    }
+
+    /// It has too much to do: others are preferred for a moment.
+    pub fn busy(&self, now: Micros, pause: Duration) {
+        self.avoid.set(now + pause.as_micros() as Micros);
+    }
+
+    /// A read showed that its log holds, or lacks, a position of this age.
+    pub fn holds(&self, age: Micros, holds: bool) {
+        let mut it = self.lag.get();
+        if holds {
+            it.reached(age)
+        } else {
+            it.lacked(age)
+        }
+        self.lag.set(it);
+    }
+
+    /// Asks it for its account of itself, soon.
+    pub fn ask(&self) {
+        self.nudge.notify_one();
+    }
+
+    /// The same, unless a question is out that was sent at `since` or later.
+    pub fn ask_after(&self, since: Micros) {
+        if self.asked.get().is_none_or(|at| at < since) {
+            self.ask();
+        }
+    }
+}
+
+/// A group of servers.
+pub struct Group {
+    /// Its name.
+    pub name: Name,
+    /// Woken when something about the group has changed.
+    pub changed: Notify,
+    servers: RefCell<Vec<Rc<Upstream>>>,
+    term: Cell<Term>,
+    primary: Cell<Option<usize>>,
+    absent: Cell<Option<Micros>>,
+    fresh: RefCell<Freshness>,
+    gate: RefCell<Gate>,
+    /// Since when commits wait without progress.
+    stalled: Cell<Option<Micros>>,
+    waiting: Cell<usize>,
+}
+
+impl Group {
+    /// A group of which no server is known.
+    pub fn new(name: Name) -> Group {
+        Group {
+            name,
+            changed: Notify::new(),
+            servers: RefCell::default(),
+            term: Cell::default(),
+            primary: Cell::default(),
+            absent: Cell::default(),
+            fresh: RefCell::new(Freshness::new(0, REPLICAS)),
+            gate: RefCell::new(Gate::new(0, REPLICAS)),
+            stalled: Cell::default(),
+            waiting: Cell::default(),
+        }
+    }
+
+    /// Its servers that have not left.
+    pub fn servers(&self) -> Vec<Rc<Upstream>> {
+        self.servers.borrow().iter().filter(|it| !it.is_gone()).cloned().collect()
+    }
+
+    /// The newest term that any server showed.
+    pub fn term(&self) -> Term {
+        self.term.get()
+    }
+
+    /// Its primary, as far as it is known.
+    pub fn primary(&self) -> Option<Rc<Upstream>> {
+        let at = self.primary.get()?;
+        self.servers.borrow().get(at).filter(|it| !it.is_gone()).cloned()
+    }
+
+    /// Since when no primary is known.
+    pub fn absent(&self) -> Option<Micros> {
+        self.absent.get()
+    }
+
+    /// Since when commits wait for a replica without progress.
+    pub fn stalled(&self) -> Option<Micros> {
+        self.stalled.get()
+    }
+
+    /// Takes a server's entry in; a new server gets a task that asks it.
+    pub fn enter(self: &Rc<Self>, inst: &Rc<Instance>, server: Server) {
+        let known = self.servers.borrow().iter().find(|it| it.entry().id == server.id).cloned();
+        let Some(it) = known else { return self.add(inst, server) };
+        let hint = server.role == Some(Role::Primary) && it.entry().role != server.role;
+        it.missing.set(None);
+        it.gone.set(false);
+        *it.entry.borrow_mut() = Rc::new(server);
+        if hint {
+            it.ask();
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// A server's entry was removed; it counts as gone if it stays away.
+    pub fn leave(&self, id: &Name, now: Micros) {
+        let servers = self.servers.borrow();
+        if let Some(it) = servers.iter().find(|it| it.entry().id == *id) {
+            it.missing.set(it.missing.get().or(Some(now)));
+        }
+    }
+
+    /// Servers whose entries have been missing since before `limit` are gone. Hands their ids back.
+    pub fn expire(&self, limit: Micros) -> Vec<Name> {
+        let mut gone = Vec::new();
+        for it in self.servers().iter().filter(|it| it.missing.get().is_some_and(|at| at < limit)) {
+            it.gone.set(true);
+            it.pool.trim(Instant::now(), true);
+            if self.primary.get() == Some(it.index) {
+                self.lose_primary(limit);
+            }
+            // Its task ends.
+            it.ask();
+            gone.push(it.entry().id.clone());
+        }
+        gone
+    }
+
+    fn add(self: &Rc<Self>, inst: &Rc<Instance>, server: Server) {
+        let index = self.servers.borrow().len();
+        let it = Rc::new(Upstream {
+            index,
+            pool: Rc::default(),
+            entry: RefCell::new(Rc::new(server)),
+            status: Cell::default(),
+            pace: Cell::default(),
+            lag: Cell::default(),
+            heard: Cell::new(inst.now()),
+            silent: Cell::default(),
+            refused: Cell::default(),
+            avoid: Cell::default(),
+            missing: Cell::default(),
+            gone: Cell::default(),
+            asked: Cell::default(),
+            nudge: Notify::new(),
+        });
+        self.servers.borrow_mut().push(it.clone());
+        self.fresh.borrow_mut().grow(index + 1);
+        self.gate.borrow_mut().grow(index + 1);
+        it.ask();
+        tokio::task::spawn_local(ask_forever(inst.clone(), self.clone(), it));
+    }
+
+    /// A server gave its account of itself in the answer to a question sent at `sent`.
+    pub fn saw(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) {
+        it.answered(now);
+        it.status.set(Some((sent, status)));
+        if status.role == Role::Replica {
+            let mut lag = it.lag.get();
+            lag.stated(status.lag * 1_000);
+            it.lag.set(lag);
+        }
+        if status.term > self.term.get() {
+            self.begin(status.term, now);
+        }
+        let leads = status.role == Role::Primary && status.term == self.term.get();
+        match self.primary.get() {
+            _ if leads => self.found_primary(it.index, now),
+            Some(at) if at == it.index => self.lose_primary(now),
+            _ => {}
+        }
+        if leads {
+            self.fresh.borrow_mut().observe(status.term, status.received, sent);
+        }
+        let receives = status.role == Role::Replica && status.paused.is_none();
+        if receives || self.is_alone() {
+            self.fresh.borrow_mut().confirm(it.index, status.term, sent);
+            let before = self.gate.borrow().durable();
+            self.gate.borrow_mut().observe(it.index, status.term, status.received);
+            if self.gate.borrow().durable() > before {
+                self.stalled.set((self.waiting.get() > 0).then_some(now));
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// The primary showed a position after a statement sent at `sent`.
+    pub fn moved(&self, it: &Upstream, at: Mark, sent: Micros) {
+        if self.primary.get() == Some(it.index) {
+            self.fresh.borrow_mut().observe(self.term.get(), at, sent);
+        }
+    }
+
+    /// A server says that it isn't the primary.
+    pub fn denied(&self, it: &Upstream, now: Micros) {
+        if self.primary.get() == Some(it.index) {
+            self.lose_primary(now);
+            self.ask_all();
+        }
+    }
+
+    fn begin(&self, term: Term, now: Micros) {
+        self.term.set(term);
+        self.fresh.borrow_mut().begin(term);
+        self.gate.borrow_mut().begin(term);
+        self.stalled.set(None);
+        self.lose_primary(now);
+    }
+
+    fn found_primary(&self, index: usize, now: Micros) {
+        if self.primary.replace(Some(index)) == Some(index) {
+            return;
+        }
+        let gap = self.absent.take().map_or(0, |at| now.saturating_sub(at));
+        let id = self.servers.borrow()[index].entry().id.clone();
+        log::info!(group = self.name.as_str(), server = id.as_str(), term = self.term.get().0, absent_ms = gap / 1_000; "primary found");
+    }
+
+    fn lose_primary(&self, now: Micros) {
+        self.primary.set(None);
+        self.absent.set(self.absent.get().or(Some(now)));
+    }
+
+    fn is_alone(&self) -> bool {
+        self.servers.borrow().iter().filter(|it| !it.is_gone()).count() == 1
+    }
+
+    /// Asks every server for its account of itself.
+    pub fn ask_all(&self) {
+        for it in self.servers() {
+            it.ask();
+        }
+    }
+
+    /// Asks the replica that is likely to answer first, unless it owes an answer to a question since then.
+    fn ask_replica(&self, inst: &Instance, since: Micros) {
+        let now = inst.now();
+        let servers = self.servers();
+        let replicas = servers.iter().filter(|it| self.primary.get() != Some(it.index) || servers.len() == 1);
+        let quiet = |it: &Upstream| {
+            it.silent.get().is_some() || it.status.get().is_some_and(|it| it.1.paused.is_some())
+        };
+        let best =
+            replicas.min_by_key(|it| (quiet(it), it.avoid.get() > now, self.offer(inst, it, now).cost()));
+        if let Some(it) = best {
+            it.ask_after(since);
+        }
+    }
+
+    fn offer(&self, inst: &Instance, it: &Upstream, now: Micros) -> Offer {
+        Offer {
+            expected: it.pace.get().expected(now),
+            load: it.pool.load(),
+            far: it.entry().zone != inst.settings.zone,
+            primary: self.primary.get() == Some(it.index),
+        }
+    }
+
+    /// Chooses a server for a read whose position was reached by the primary at `since`.
+    ///
+    /// Replicas that are unlikely to hold the position are left out, and servers in `tried` come last.
+    pub fn choose(&self, inst: &Instance, since: Micros, tried: &[usize]) -> Option<Rc<Upstream>> {
+        let now = inst.now();
+        let age = now.saturating_sub(since) as f64;
+        let caught_up = |it: &Upstream| {
+            self.primary.get() == Some(it.index) || age >= it.lag.get().get() as f64 * LAG_FACTOR
+        };
+        let servers = self.servers();
+        let usable = servers.iter().filter(|it| caught_up(it) && it.silent.get().is_none());
+        usable
+            .min_by_key(|it| {
+                let again = tried.iter().filter(|n| **n == it.index).count();
+                let rest = (it.entry().draining, it.avoid.get() > now, !it.pool.is_free());
+                (again, rest, self.offer(inst, it, now).cost())
+            })
+            .cloned()
+    }
+
+    /// The position that holds everything acknowledged longer ago than `age`, and since when it is known
+    /// to. Evidence is renewed if it is getting old; none if that fails before the end.
+    pub async fn needed(&self, inst: &Instance, age: Duration, end: Instant) -> Option<(Micros, Mark)> {
+        let age = age.as_micros() as Micros;
+        loop {
+            let changed = self.changed.notified();
+            let now = inst.now();
+            let needed = self.fresh.borrow().needed(now.saturating_sub(age));
+            self.renew(inst, now, needed.is_some());
+            if needed.is_some() {
+                return needed;
+            }
+            if Instant::now() >= end {
+                return None;
+            }
+            // What is not answered is asked again by `renew`.
+            let _ = timeout(ASK_OTHERS, changed).await;
+        }
+    }
+
+    /// Has evidence that is getting old, or is not `enough`, renewed.
+    fn renew(&self, inst: &Instance, now: Micros, enough: bool) {
+        let limit = now.saturating_sub(EVIDENCE_AGE.as_micros() as Micros);
+        let (observed, confirmed) = {
+            let it = self.fresh.borrow();
+            (it.observed_at().unwrap_or_default(), it.confirmed_at().unwrap_or_default())
+        };
+        match self.primary() {
+            Some(it) if observed < limit || observed == 0 => it.ask_after(limit),
+            Some(_) => {}
+            None => self.ask_all(),
+        }
+        // A confirmation counts for what was observed before it.
+        if confirmed < limit || (!enough && confirmed <= observed) {
+            self.ask_replica(inst, observed.max(limit));
+        }
+    }
+
+    /// Waits until a replica confirms that the primary of `term` had not been replaced at `since`.
+    pub async fn confirm(&self, inst: &Instance, term: Term, since: Micros, end: Instant) -> bool {
+        let mut patience = ASK_OTHERS;
+        self.ask_replica(inst, since);
+        loop {
+            let changed = self.changed.notified();
+            if self.term.get() != term {
+                return false;
+            }
+            if self.fresh.borrow().confirmed_at().is_some_and(|at| at >= since) {
+                return true;
+            }
+            if Instant::now() >= end {
+                return false;
+            }
+            if timeout(patience, changed).await.is_err() {
+                patience = (patience * 2).min(ORDER_LIMIT);
+                self.ask_all();
+            }
+        }
+    }
+
+    /// Waits until a replica has received a commit of `term`. False when the term is over, or at the end.
+    pub async fn replicated(&self, inst: &Instance, term: Term, at: Lsn, end: Instant) -> bool {
+        if self.waiting.replace(self.waiting.get() + 1) == 0 {
+            self.stalled.set(Some(inst.now()));
+        }
+        let done = self.wait_replicated(inst, term, at, end).await;
+        self.waiting.set(self.waiting.get() - 1);
+        if self.waiting.get() == 0 {
+            self.stalled.set(None);
+        }
+        done
+    }
+
+    async fn wait_replicated(&self, inst: &Instance, term: Term, at: Lsn, end: Instant) -> bool {
+        let began = Instant::now();
+        loop {
+            let sent = inst.now();
+            match began.elapsed() < ASK_OTHERS {
+                true => self.ask_replica(inst, sent),
+                false => self.ask_all(),
+            }
+            let answered = timeout(ASK_OTHERS, self.changed.notified()).await.is_ok();
+            let (known, durable) = {
+                let it = self.gate.borrow();
+                (it.term(), it.durable())
+            };
+            match known == term && durable >= at {
+                true => return true,
+                false if known > term || Instant::now() >= end => return false,
+                false if answered => sleep(GATE_PAUSE).await,
+                false => {}
+            }
+        }
+    }
+
+    /// Waits for a primary that answers.
+    pub async fn wait_primary(&self, end: Instant) -> Option<Rc<Upstream>> {
+        loop {
+            let changed = self.changed.notified();
+            if let Some(it) = self.primary().filter(|it| it.silent().is_none()) {
+                return Some(it);
+            }
+            if Instant::now() >= end {
+                return None;
+            }
+            if timeout(PRIMARY_PAUSE, changed).await.is_err() {
+                self.ask_all();
+            }
+        }
+    }
+}
+
+/// Asks a server whenever it is wanted; questions that come while one is out share the next.
+async fn ask_forever(inst: Rc<Instance>, group: Rc<Group>, it: Rc<Upstream>) {
+    loop {
+        it.nudge.notified().await;
+        if it.is_gone() {
+            it.pool.trim(Instant::now(), true);
+            return;
+        }
+        let asked = give(&inst, &group, &it, &Order::Status).await;
+        if asked.is_none() {
+            // So that a server that can't be reached isn't asked without end.
+            sleep(PRIMARY_PAUSE).await;
+        }
+    }
+}
+
+/// Gives a server an order that it answers with its account of itself.
+pub async fn give(inst: &Instance, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
+    let want = Want { priority: 0, until: Instant::now() + ASK_WAIT, values: None };
+    let server = it.entry();
+    let began = inst.now();
+    let mut lease = match it.pool.lend(inst, &server, want).await {
+        Ok(lease) => lease,
+        Err(Denied::Busy) => return None,
+        Err(Denied::Unreachable(e)) => {
+            log::debug!(server = server.id.as_str(); "{e}");
+            it.unanswered(began);
+            it.unreachable(inst.now(), e.is_refusal());
+            return None;
+        }
+    };
+    let sent = inst.now();
+    inst.counters.one(Count::Orders);
+    let dialect = inst.edge.dialect.as_ref();
+    it.asked.set(Some(sent));
+    let answer = timeout(ORDER_LIMIT, lease.conn()?.order(dialect, order)).await;
+    it.asked.set(None);
+    let answer = match answer {
+        Ok(Ok(it)) => it,
+        Ok(Err(e)) => {
+            log::debug!(server = server.id.as_str(); "{e}");
+            it.unanswered(sent);
+            return None;
+        }
+        Err(_) => {
+            it.unanswered(sent);
+            return None;
+        }
+    };
+    lease.give_back();
+    it.answered(inst.now());
+    let status = dialect.status(&answer)?;
+    group.saw(it, status, sent, inst.now());
+    Some(status)
+}
--- /dev/null
+++ b/crates/engine/src/lease.rs
@@ -0,0 +1,224 @@
+//! The right to give orders to promote: one instance has it at a time.
+//!
+//! It is a record in the store, changed only conditionally. The holder acts for a bounded time, counted
+//! from the sending of its last renewal that succeeded; whoever takes over first waits for longer than
+//! that, and for an order that may be under way, on its own clock. Clocks are not compared. A holder that
+//! was paused finds its time over.
+
+use {
+    crate::{
+        count::Count,
+        instance::{Instance, Micros},
+        ports::{Collection, LeaseRecord, Object, Record, StoreError},
+    },
+    pondtrack_proto::Name,
+    std::{cell::Cell, rc::Rc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// The record's name.
+const NAME: &str = "failover";
+/// How long the holder acts after it sent a renewal. Long enough to outlast most outages of the store
+/// (4 to 6 seconds), short enough that a lost holder doesn't hold a failover up for long.
+pub const HOLD: Duration = Duration::from_millis(5_000);
+/// How long a record has to stand unchanged before another instance takes it: the holder's time, the time
+/// an order may be under way, and some room for clocks that run apart.
+pub const TAKE_AFTER: Duration = Duration::from_millis(6_000);
+/// Between two renewals.
+const RENEW: Duration = Duration::from_millis(1_200);
+/// Between two looks of the others, which read at a tenth of the price.
+const LOOK: Duration = Duration::from_millis(1_000);
+/// After its start, a process that finds its own name in the record waits for so long: an order of the
+/// process before it may be under way.
+const OWN_AFTER: Duration = Duration::from_millis(800);
+/// Renewals without an answer that are remembered.
+const SENT: usize = 8;
+
+/// The right as this instance has it.
+#[derive(Default)]
+pub struct Tenure {
+    held: Cell<Option<Held>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    token: u64,
+    until: Micros,
+}
+
+impl Tenure {
+    /// The fencing token, while orders may be given under it.
+    pub fn token(&self, now: Micros) -> Option<u64> {
+        self.held.get().filter(|it| now < it.until).map(|it| it.token)
+    }
+}
+
+/// What is known of the record.
+struct Seen {
+    record: LeaseRecord,
+    revision: u64,
+    /// When this revision was first seen.
+    since: Micros,
+}
+
+/// The work of keeping, or waiting for, the right.
+struct Keeper {
+    inst: Rc<Instance>,
+    seen: Option<Seen>,
+    /// Nonces of renewals and when they were sent.
+    sent: Vec<(u64, Micros)>,
+    began: Micros,
+}
+
+/// Keeps the right, or takes it when it is free, for good.
+pub async fn keep(inst: Rc<Instance>) {
+    let began = inst.now();
+    let mut it = Keeper { inst: inst.clone(), seen: None, sent: Vec::new(), began };
+    while inst.leaving().is_none() {
+        let pause = it.step().await;
+        sleep(pause + Duration::from_millis(inst.random(100))).await;
+    }
+    it.release().await;
+}
+
+impl Keeper {
+    async fn step(&mut self) -> Duration {
+        if self.is_mine() {
+            self.renew().await;
+            return RENEW;
+        }
+        self.look().await;
+        if self.may_take() {
+            self.take().await;
+        }
+        LOOK
+    }
+
+    /// Whether the record names this process, as far as is known.
+    fn is_mine(&self) -> bool {
+        self.inst.tenure.held.get().is_some()
+    }
+
+    async fn look(&mut self) {
+        self.inst.counters.one(Count::StoreCalls);
+        match self.inst.edge.store.list(Collection::Leases, true).await {
+            Ok(it) => {
+                let found = it.items.into_iter().find(|it| it.name == NAME);
+                self.see(found);
+            }
+            Err(e) => log::debug!(step = "lease"; "{e}"),
+        }
+    }
+
+    fn see(&mut self, object: Option<Object>) {
+        let Some(Object { revision, record: Some(Record::Lease(record)), .. }) = object else {
+            self.seen = None;
+            return;
+        };
+        // An answer may be older than what is known.
+        if self.seen.as_ref().is_none_or(|it| it.revision < revision) {
+            self.seen = Some(Seen { record, revision, since: self.inst.now() });
+        }
+    }
+
+    fn may_take(&self) -> bool {
+        let now = self.inst.now();
+        let over = |since: Micros, limit: Duration| now.saturating_sub(since) >= limit.as_micros() as Micros;
+        match &self.seen {
+            None => true,
+            Some(it) if it.record.holder.is_empty() => true,
+            // A process before this one had it, and is no more.
+            Some(it) if it.record.holder == self.inst.settings.name => over(self.began, OWN_AFTER),
+            Some(it) => over(it.since, TAKE_AFTER),
+        }
+    }
+
+    async fn take(&mut self) {
+        let (token, revision) =
+            self.seen.as_ref().map_or((1, None), |it| (it.record.token + 1, Some(it.revision)));
+        self.put(self.inst.settings.name.clone(), token, revision).await;
+        if let Some(token) = self.inst.tenure.token(self.inst.now()) {
+            log::info!(token, revision:? = revision; "the right to promote is taken");
+        }
+    }
+
+    async fn renew(&mut self) {
+        let Some(seen) = &self.seen else { return };
+        let (token, revision) = (seen.record.token, Some(seen.revision));
+        self.put(self.inst.settings.name.clone(), token, revision).await;
+    }
+
+    /// Writes the record; what became of it decides whether this instance holds the right.
+    async fn put(&mut self, holder: Name, token: u64, revision: Option<u64>) {
+        let nonce = self.inst.random(u64::MAX);
+        let record = LeaseRecord { holder, token, nonce };
+        let sent = self.inst.now();
+        self.sent.push((nonce, sent));
+        if self.sent.len() > SENT {
+            self.sent.remove(0);
+        }
+        self.inst.counters.one(Count::StoreCalls);
+        let name = Name::from(NAME);
+        let put =
+            self.inst.edge.store.put(Collection::Leases, name, Record::Lease(record.clone()), revision).await;
+        match put {
+            Ok(revision) => {
+                self.seen = Some(Seen { record, revision, since: self.inst.now() });
+                self.hold(token, sent);
+            }
+            Err(StoreError::Conflict { current }) => self.conflict(current.map(|it| *it)),
+            Err(StoreError::Missing) => {
+                self.seen = None;
+                self.lose("the record is gone");
+            }
+            Err(e) => {
+                self.inst.counters.one(Count::StoreFailures);
+                log::info!(token, step = "lease"; "the right to promote isn't renewed: {e}");
+            }
+        }
+    }
+
+    /// The record was changed: by an earlier call of this process whose answer was lost, or by another.
+    fn conflict(&mut self, current: Option<Object>) {
+        self.see(current);
+        let Some(seen) = &self.seen else { return self.lose("the record is gone") };
+        let token = seen.record.token;
+        match self.sent.iter().find(|it| it.0 == seen.record.nonce).map(|it| it.1) {
+            Some(sent) => self.hold(token, sent),
+            None => self.lose("another instance has it"),
+        }
+    }
+
+    fn hold(&self, token: u64, sent: Micros) {
+        let until = sent + HOLD.as_micros() as Micros;
+        self.inst.tenure.held.set(Some(Held { token, until }));
+    }
+
+    fn lose(&self, why: &str) {
+        if self.inst.tenure.held.take().is_some() {
+            log::warn!("the right to promote is lost: {why}");
+        }
+    }
+
+    /// Gives the right up, so that another instance need not wait.
+    async fn release(&mut self) {
+        if !self.is_mine() {
+            return;
+        }
+        let Some(seen) = &self.seen else { return };
+        let (token, revision) = (seen.record.token, seen.revision);
+        self.inst.tenure.held.set(None);
+        let record = LeaseRecord { holder: Name::new(), token, nonce: 0 };
+        self.inst.counters.one(Count::StoreCalls);
+        let put = self.inst.edge.store.put(
+            Collection::Leases,
+            Name::from(NAME),
+            Record::Lease(record),
+            Some(revision),
+        );
+        match put.await {
+            Ok(_) => log::info!(token; "the right to promote is given up"),
+            Err(e) => log::warn!(token; "the right to promote can't be given up: {e}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,33 @@
+//! Sessions, connections and failover over a neutral model of statements.
+//!
+//! A caller's statement flows from its [`session`] through a route to a [`group`] of servers, over a
+//! connection of a [`pool`], and back. What the wire, the store and the order to promote look like is the
+//! business of the [`ports`].
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | [`model`] | statements, answers, configuration |
+//! | [`ports`] | what an edge brings |
+//! | [`settings`] | timeouts, limits and weights |
+//! | [`instance`] | what the parts of an instance share |
+//! | [`feed`] | the configuration and the directory, kept up to date |
+//! | [`group`] | a group's servers and the evidence about them |
+//! | [`conn`], [`pool`] | connections to servers |
+//! | [`session`], [`statement`], [`txn`] | callers |
+//! | [`lease`], [`takeover`] | the right to give orders, and changes of primary |
+//! | [`count`] | counters and histograms |
+
+pub mod conn;
+pub mod count;
+pub mod feed;
+pub mod group;
+pub mod instance;
+pub mod lease;
+pub mod model;
+pub mod pool;
+pub mod ports;
+pub mod session;
+pub mod settings;
+pub mod statement;
+pub mod takeover;
+pub mod txn;
--- /dev/null
+++ b/crates/engine/src/pool.rs
@@ -0,0 +1,235 @@
+//! The connections of one instance to one server.
+//!
+//! Connections are scarce: the instances share out the server's limit. A connection belongs to one
+//! statement or one transaction at a time; who waits gets the next one by priority, then by arrival.
+
+use {
+    crate::{
+        conn::{Conn, ConnError, Values},
+        count::Count,
+        instance::Instance,
+        model::{Code, Server},
+        settings::{EXTRA_CONNS, EXTRA_IDLE, FULL_PAUSE},
+    },
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+    },
+    tokio::{
+        sync::oneshot,
+        time::{Instant, timeout_at},
+    },
+};
+
+/// Why there is no connection.
+#[derive(Debug)]
+pub enum Denied {
+    /// All are in use for longer than the caller can wait.
+    Busy,
+    /// The server can't be reached.
+    Unreachable(ConnError),
+}
+
+/// Who asks for a connection.
+#[derive(Clone, Debug)]
+pub struct Want {
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// The end of the wait.
+    pub until: Instant,
+    /// Session values that it would set; a connection that has them is preferred.
+    pub values: Option<Values>,
+}
+
+struct Waiter {
+    priority: u8,
+    /// Gets a connection, or nothing when it may try to open one.
+    turn: oneshot::Sender<Option<Lease>>,
+}
+
+struct Idle {
+    conn: Conn,
+    since: Instant,
+}
+
+/// The connections to one server.
+#[derive(Default)]
+pub struct Pool {
+    idle: RefCell<Vec<Idle>>,
+    waiting: RefCell<Vec<Waiter>>,
+    open: Cell<usize>,
+    share: Cell<usize>,
+    full: Cell<Option<Instant>>,
+}
+
+impl Pool {
+    /// Sets the number of connections that this instance may count on.
+    pub fn set_share(&self, share: usize) {
+        self.share.set(share);
+    }
+
+    /// Statements that run or wait here.
+    pub fn load(&self) -> usize {
+        self.open.get() - self.idle.borrow().len().min(self.open.get()) + self.waiting.borrow().len()
+    }
+
+    /// Whether a connection can be had without a wait.
+    pub fn is_free(&self) -> bool {
+        !self.idle.borrow().is_empty() || self.may_open()
+    }
+
+    /// Lends a connection.
+    pub async fn lend(
+        self: &Rc<Self>,
+        inst: &Instance,
+        server: &Server,
+        want: Want,
+    ) -> Result<Lease, Denied> {
+        loop {
+            if let Some(conn) = self.take_idle(want.values.as_ref()) {
+                return Ok(self.lease(conn));
+            }
+            if self.may_open() {
+                match self.open(inst, server).await {
+                    Ok(it) => return Ok(it),
+                    Err(ConnError::Refused { code: Code::TooMany, .. }) => {}
+                    Err(e) => return Err(Denied::Unreachable(e)),
+                }
+            }
+            if Instant::now() >= want.until {
+                return Err(Denied::Busy);
+            }
+            if let Some(it) = self.wait(&want).await? {
+                return Ok(it);
+            }
+        }
+    }
+
+    /// Closes connections above the share that nobody uses, and all if the server is to be left alone.
+    pub fn trim(&self, now: Instant, all: bool) {
+        let share = self.share.get();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|it| {
+            let extra = self.open.get() > share && now.duration_since(it.since) >= EXTRA_IDLE;
+            let keep = !all && !extra && it.conn.is_alive();
+            if !keep {
+                self.open.set(self.open.get() - 1);
+            }
+            keep
+        });
+    }
+
+    fn may_open(&self) -> bool {
+        let full = self.full.get().is_some_and(|it| it > Instant::now());
+        !full && self.open.get() < self.share.get().max(1) + EXTRA_CONNS
+    }
+
+    fn take_idle(&self, values: Option<&Values>) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        loop {
+            let alike =
+                values.and_then(|it| idle.iter().rposition(|idle| idle.conn.values.as_ref() == Some(it)));
+            let at = alike.or_else(|| idle.len().checked_sub(1))?;
+            let it = idle.remove(at);
+            if it.conn.is_alive() {
+                return Some(it.conn);
+            }
+            self.open.set(self.open.get() - 1);
+        }
+    }
+
+    async fn open(self: &Rc<Self>, inst: &Instance, server: &Server) -> Result<Lease, ConnError> {
+        // Counted before it is there, so that callers at the same time don't open too many.
+        self.open.set(self.open.get() + 1);
+        let mut place = Lease { pool: self.clone(), conn: None, kept: false };
+        inst.counters.one(Count::Opened);
+        match Conn::open(inst.edge.dialect.as_ref(), server).await {
+            Ok(conn) => {
+                place.conn = Some(conn);
+                Ok(place)
+            }
+            Err(e) => {
+                if let ConnError::Refused { code: Code::TooMany, .. } = e {
+                    inst.counters.one(Count::Refused);
+                    self.full.set(Some(Instant::now() + FULL_PAUSE));
+                }
+                Err(e)
+            }
+        }
+    }
+
+    /// Waits for a turn: a connection, or leave to try and open one.
+    async fn wait(&self, want: &Want) -> Result<Option<Lease>, Denied> {
+        let (turn, got) = oneshot::channel();
+        {
+            let mut waiting = self.waiting.borrow_mut();
+            let at = waiting.partition_point(|it| it.priority <= want.priority);
+            waiting.insert(at, Waiter { priority: want.priority, turn });
+        }
+        // With no connection at all nobody would end the wait.
+        let retry = self.full.get().filter(|it| *it > Instant::now() && self.open.get() == 0);
+        let end = retry.map_or(want.until, |it| it.min(want.until));
+        match timeout_at(end, got).await {
+            Ok(Ok(it)) => Ok(it),
+            Ok(Err(_)) | Err(_) => {
+                self.waiting.borrow_mut().retain(|it| !it.turn.is_closed());
+                if end < want.until { Ok(None) } else { Err(Denied::Busy) }
+            }
+        }
+    }
+
+    fn lease(self: &Rc<Self>, conn: Conn) -> Lease {
+        Lease { pool: self.clone(), conn: Some(conn), kept: false }
+    }
+
+    fn next_waiter(&self) -> Option<Waiter> {
+        let mut waiting = self.waiting.borrow_mut();
+        (!waiting.is_empty()).then(|| waiting.remove(0))
+    }
+}
+
+/// A connection on loan. Dropped, it is closed.
+pub struct Lease {
+    pool: Rc<Pool>,
+    conn: Option<Conn>,
+    /// Whether the connection went back and stays counted.
+    kept: bool,
+}
+
+impl Lease {
+    /// The connection; none only while it is being opened or handed back.
+    pub fn conn(&mut self) -> Option<&mut Conn> {
+        self.conn.as_mut()
+    }
+
+    /// Gives the connection back for others.
+    pub fn give_back(self) {
+        let mut lease = self;
+        while let Some(waiter) = lease.pool.next_waiter() {
+            match waiter.turn.send(Some(lease)) {
+                Ok(()) => return,
+                // Whoever has stopped waiting hands it back.
+                Err(Some(it)) => lease = it,
+                Err(None) => return,
+            }
+        }
+        if let Some(conn) = lease.conn.take() {
+            lease.kept = true;
+            lease.pool.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if self.kept {
+            return;
+        }
+        self.pool.open.set(self.pool.open.get().saturating_sub(1));
+        while let Some(it) = self.pool.next_waiter() {
+            if it.turn.send(None).is_ok() {
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/ports.rs
@@ -0,0 +1,244 @@
+//! What an edge brings: the wire to callers and servers, the store, the order to promote.
+//!
+//! These are the only traits of the engine. An implementation translates; it holds no timer, retry or
+//! choice.
+
+use {
+    crate::model::{Answer, CallerMessage, Desired, Order, Server, Status},
+    bytes::{Bytes, BytesMut},
+    futures::future::LocalBoxFuture,
+    pondtrack_proto::{Mark, Name},
+    serde::{Deserialize, Serialize},
+    snafu::Snafu,
+    std::time::Duration,
+};
+
+/// Bytes that are not a message of the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("not a message of this protocol: {reason}"))]
+pub struct WireError {
+    /// What is wrong with them.
+    pub reason: &'static str,
+}
+
+/// A statement towards a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Forward<'a> {
+    /// The caller's id for it.
+    pub id: &'a Bytes,
+    /// What is run.
+    pub text: Text<'a>,
+    /// The position that the server's log has to hold, or the statement doesn't run.
+    pub after: Option<Mark>,
+}
+
+/// The text of a statement towards a server.
+#[derive(Clone, Copy, Debug)]
+pub enum Text<'a> {
+    /// As the caller sent it.
+    Plain(&'a Bytes),
+    /// A named statement, under its name on the server's connection.
+    Execute {
+        /// The name.
+        name: &'a str,
+        /// The caller's arguments.
+        args: &'a Bytes,
+    },
+}
+
+/// The wire that callers and servers speak.
+pub trait Dialect {
+    /// Takes the next whole message of a caller out of `buf`; an error ends the session.
+    fn caller(&self, buf: &mut BytesMut) -> Result<Option<CallerMessage>, WireError>;
+
+    /// Appends an answer to a caller.
+    fn reply(&self, answer: &Answer, out: &mut BytesMut);
+
+    /// Appends the answer to a session that was opened.
+    fn welcome(&self, out: &mut BytesMut);
+
+    /// Appends the refusal of a session.
+    fn refuse(&self, answer: &Answer, out: &mut BytesMut);
+
+    /// Appends the opening of a connection to a server that must have this id.
+    fn open(&self, group: &str, id: &str, out: &mut BytesMut);
+
+    /// Appends a caller's statement towards a server.
+    fn forward(&self, it: Forward<'_>, out: &mut BytesMut);
+
+    /// Appends an order of pondtrack's own towards a server.
+    fn order(&self, order: &Order, after: Option<Mark>, out: &mut BytesMut);
+
+    /// Takes the whole answer to an opening out of `buf`.
+    fn opening(&self, buf: &mut BytesMut) -> Result<Option<Answer>, WireError>;
+
+    /// Takes the next whole answer to a statement or an order out of `buf`.
+    fn answer(&self, buf: &mut BytesMut) -> Result<Option<Answer>, WireError>;
+
+    /// Reads the answer to [`Order::Status`], and to the orders that are answered like it.
+    fn status(&self, answer: &Answer) -> Option<Status>;
+}
+
+/// Collections in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Collection {
+    /// The configuration.
+    Desired,
+    /// The directory of servers.
+    Servers,
+    /// Instances of pondtrack that are up.
+    Instances,
+    /// The right to give orders.
+    Leases,
+}
+
+/// An instance's own entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceRecord {
+    /// Counts up at each heartbeat.
+    pub beat: u64,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where it answers other instances.
+    pub addr: Name,
+}
+
+/// Who may give orders.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// The instance; empty when it was given up.
+    pub holder: Name,
+    /// The fencing token: rises with each change of holder.
+    pub token: u64,
+    /// Tells writes apart, so that a lost answer is recognised.
+    pub nonce: u64,
+}
+
+/// What an object in the store holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// The configuration.
+    Desired(Desired),
+    /// A server.
+    Server(Server),
+    /// An instance.
+    Instance(InstanceRecord),
+    /// A lease.
+    Lease(LeaseRecord),
+    /// An object that can't be read, with the reason.
+    Unreadable(String),
+}
+
+/// An object in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Object {
+    /// Its name.
+    pub name: Name,
+    /// The store's revision of its last change.
+    pub revision: u64,
+    /// What it holds; none when it was deleted.
+    pub record: Option<Record>,
+}
+
+/// Objects, complete or changed, as of a revision of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Objects {
+    /// The objects.
+    pub items: Vec<Object>,
+    /// The store's revision.
+    pub as_of: u64,
+}
+
+/// Why a call of the store has no result.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(module)]
+pub enum StoreError {
+    /// It provably did nothing.
+    #[snafu(display("the store refused the call: {reason}"))]
+    Refused {
+        /// Why.
+        reason: String,
+    },
+    /// The object isn't at the revision that the call named.
+    #[snafu(display("the object has another revision"))]
+    Conflict {
+        /// The object as it is, if the answer told.
+        current: Option<Box<Object>>,
+    },
+    /// There is no such object.
+    #[snafu(display("no such object"))]
+    Missing,
+    /// The changes since the revision are no longer kept.
+    #[snafu(display("the history is gone"))]
+    Compacted,
+    /// There is no answer; the call may have been carried out, or may be yet.
+    #[snafu(display("no answer of the store at {step}: {reason}"))]
+    Unanswered {
+        /// What was being done.
+        step: &'static str,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// The outcome of a call.
+pub type Reply<T, E> = LocalBoxFuture<'static, Result<T, E>>;
+
+/// The platform's store. Each call is one request; nothing is repeated.
+pub trait Store {
+    /// Reads a collection; `stale` allows an answer that is seconds old, at a lower price.
+    fn list(&self, what: Collection, stale: bool) -> Reply<Objects, StoreError>;
+
+    /// Waits for changes since a revision.
+    fn watch(&self, what: Collection, since: u64, wait: Duration) -> Reply<Objects, StoreError>;
+
+    /// Writes an object: replaces it at this revision, or creates it with none. Hands back its revision.
+    fn put(
+        &self,
+        what: Collection,
+        name: Name,
+        record: Record,
+        revision: Option<u64>,
+    ) -> Reply<u64, StoreError>;
+
+    /// Removes an object.
+    fn remove(&self, what: Collection, name: Name) -> Reply<(), StoreError>;
+}
+
+/// Why an order to promote has no success.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(module)]
+pub enum PromoteError {
+    /// The server isn't running.
+    #[snafu(display("the server to promote isn't running"))]
+    NotRunning,
+    /// It provably did nothing.
+    #[snafu(display("the order was refused: {reason}"))]
+    Refused {
+        /// Why.
+        reason: String,
+    },
+    /// There is no answer; it may have been carried out.
+    #[snafu(display("no answer to the order: {reason}"))]
+    Unanswered {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// The platform's order that makes a server the primary.
+pub trait Promoter {
+    /// Gives the order, in the name of a holder with its fencing token.
+    fn promote(&self, group: Name, server: Name, holder: Name, token: u64) -> Reply<(), PromoteError>;
+}
+
+/// Everything that an edge brings.
+pub struct Edge {
+    /// The wire.
+    pub dialect: Box<dyn Dialect>,
+    /// The store.
+    pub store: Box<dyn Store>,
+    /// The order to promote.
+    pub promoter: Box<dyn Promoter>,
+}
--- /dev/null
+++ b/crates/engine/src/session.rs
@@ -0,0 +1,402 @@
+//! A caller's session: its values, its named statements, its transaction.
+
+use {
+    crate::{
+        conn::Values,
+        count::{self, Count},
+        instance::{Instance, Micros},
+        model::{Access, Answer, CallerMessage, Code, Statement, TxnState, Verb},
+        settings::{ROTATION_LIMIT, SESSION_NAMES},
+        statement::{self, Work},
+        txn::Txn,
+    },
+    bytes::{Bytes, BytesMut},
+    pondtrack_proto::{Mark, Name},
+    std::{future, io, rc::Rc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        time::{Instant, sleep, sleep_until, timeout},
+    },
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Time for a caller to say which database it wants.
+const OPEN_LIMIT: Duration = Duration::from_secs(5);
+/// Time for a caller to take an answer; one that doesn't read is cut off.
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
+/// The first size of a session's buffer, in bytes: most statements are smaller.
+const BUFFER: usize = 512;
+/// Pause after a connection couldn't be accepted, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A named statement of a session.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Prepared {
+    /// The caller's name for it.
+    pub name: Name,
+    /// What it does.
+    pub access: Access,
+    /// The statement.
+    pub shape: Name,
+    /// Its name on servers: the same for the same statement of all callers.
+    pub alias: Name,
+}
+
+/// A caller's session.
+pub struct Session {
+    /// The instance.
+    pub inst: Rc<Instance>,
+    /// The database it asked for.
+    pub database: Name,
+    /// Its session values.
+    pub values: Values,
+    /// Its named statements, sorted by name.
+    pub prepared: Vec<Prepared>,
+    /// Its latest acknowledged commit, and when that was.
+    pub mark: Option<(Mark, Micros)>,
+    /// Its transaction.
+    pub txn: Txn,
+}
+
+/// Accepts callers until this instance ends.
+pub async fn accept(inst: Rc<Instance>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(inst.clone(), stream));
+            }
+            Err(e) => {
+                log::warn!(step = "accept"; "{e}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(inst: Rc<Instance>, stream: TcpStream) {
+    inst.sessions.set(inst.sessions.get() + 1);
+    inst.counters.one(Count::Sessions);
+    // A caller that goes away is no event worth a line.
+    if let Err(e) = Link::new(inst.clone(), stream).run().await {
+        log::debug!(step = "session"; "{e}");
+    }
+    inst.sessions.set(inst.sessions.get() - 1);
+}
+
+/// The bytes between a caller and its session.
+struct Link {
+    inst: Rc<Instance>,
+    stream: TcpStream,
+    buf: BytesMut,
+    out: BytesMut,
+}
+
+/// What a session waits for between two statements.
+enum Next {
+    Message(CallerMessage),
+    /// The transaction was idle for too long.
+    Idle,
+    /// This instance leaves.
+    Leave,
+    /// The caller has closed, or sent what can't be read.
+    Closed,
+}
+
+impl Link {
+    fn new(inst: Rc<Instance>, stream: TcpStream) -> Link {
+        Link { inst, stream, buf: BytesMut::with_capacity(BUFFER), out: BytesMut::new() }
+    }
+
+    async fn run(&mut self) -> io::Result<()> {
+        self.stream.set_nodelay(true)?;
+        let Some(mut session) = self.open().await? else { return Ok(()) };
+        loop {
+            let open = session.txn.is_open();
+            let answer = match self.next(open).await? {
+                Next::Message(CallerMessage::Statement(it)) => session.answer(it).await,
+                Next::Message(CallerMessage::Malformed(why)) => {
+                    Answer::error(Code::Malformed, why, session.txn.state())
+                }
+                Next::Message(CallerMessage::Open { .. }) => {
+                    Answer::error(Code::Malformed, "the session is open already", session.txn.state())
+                }
+                Next::Idle => {
+                    session.txn.lose("it was idle for too long");
+                    continue;
+                }
+                Next::Message(CallerMessage::Close) | Next::Leave | Next::Closed => break,
+            };
+            self.reply(&answer).await?;
+        }
+        session.txn.abandon().await;
+        Ok(())
+    }
+
+    async fn open(&mut self) -> io::Result<Option<Session>> {
+        let message = match timeout(OPEN_LIMIT, self.message()).await {
+            Ok(it) => it?,
+            Err(_) => return Ok(None),
+        };
+        let refusal = match (message, self.inst.desired()) {
+            (Some(CallerMessage::Open { database, .. }), Some(desired)) => {
+                if desired.route(&database).is_some() {
+                    self.out.clear();
+                    self.inst.edge.dialect.welcome(&mut self.out);
+                    self.flush().await?;
+                    return Ok(Some(Session::new(self.inst.clone(), database)));
+                }
+                if self.inst.may_log() {
+                    log::info!(database = database.as_str(), version = desired.version; "no such database");
+                }
+                Answer::error(Code::NoDatabase, "no such database", TxnState::Idle)
+            }
+            (Some(CallerMessage::Open { .. }), None) => {
+                statement::busy("no configuration yet", TxnState::Idle)
+            }
+            (Some(_), _) => {
+                Answer::error(Code::Malformed, "a session begins with its database", TxnState::Idle)
+            }
+            (None, _) => return Ok(None),
+        };
+        self.out.clear();
+        self.inst.edge.dialect.refuse(&refusal, &mut self.out);
+        self.flush().await?;
+        Ok(None)
+    }
+
+    async fn next(&mut self, open: bool) -> io::Result<Next> {
+        let inst = self.inst.clone();
+        let idle = inst.desired().map(|it| it.txn_idle).filter(|_| open);
+        tokio::select! {
+            it = self.message() => Ok(it?.map_or(Next::Closed, Next::Message)),
+            () = or_never(idle) => Ok(Next::Idle),
+            () = may_leave(&inst, open) => Ok(Next::Leave),
+        }
+    }
+
+    /// The caller's next message; none when it has closed.
+    async fn message(&mut self) -> io::Result<Option<CallerMessage>> {
+        loop {
+            match self.inst.edge.dialect.caller(&mut self.buf) {
+                Ok(Some(it)) => return Ok(Some(it)),
+                Ok(None) => {}
+                Err(e) => {
+                    let answer = Answer::error(Code::TooLarge, e.reason, TxnState::Idle);
+                    self.out.clear();
+                    self.inst.edge.dialect.refuse(&answer, &mut self.out);
+                    self.flush().await?;
+                    return Ok(None);
+                }
+            }
+            if self.buf.capacity() - self.buf.len() < BUFFER / 2 {
+                self.buf.reserve(BUFFER);
+            }
+            if self.stream.read_buf(&mut self.buf).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    async fn reply(&mut self, answer: &Answer) -> io::Result<()> {
+        self.out.clear();
+        self.inst.edge.dialect.reply(answer, &mut self.out);
+        self.flush().await
+    }
+
+    async fn flush(&mut self) -> io::Result<()> {
+        match timeout(WRITE_LIMIT, self.stream.write_all(&self.out)).await {
+            Ok(it) => it,
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+}
+
+async fn or_never(limit: Option<Duration>) {
+    match limit {
+        Some(it) => sleep(it).await,
+        None => future::pending().await,
+    }
+}
+
+/// Waits until a session may be closed as this instance leaves: once the platform sends no new ones, and
+/// with a transaction open not before half of the grace is over.
+async fn may_leave(inst: &Instance, open: bool) {
+    let since = loop {
+        let left = inst.leave.notified();
+        match inst.leaving() {
+            Some(it) => break it,
+            None => left.await,
+        }
+    };
+    sleep_until(since + if open { inst.settings.grace / 2 } else { ROTATION_LIMIT }).await;
+}
+
+impl Session {
+    fn new(inst: Rc<Instance>, database: Name) -> Session {
+        Session {
+            inst,
+            database,
+            values: Values::default(),
+            prepared: Vec::new(),
+            mark: None,
+            txn: Txn::None,
+        }
+    }
+
+    /// Answers a statement.
+    pub async fn answer(&mut self, it: Statement) -> Answer {
+        let arrived = Instant::now();
+        let answer = self.perform(&it, arrived).await;
+        count::statement_time(arrived.elapsed());
+        if let Some(code) = answer.code() {
+            self.tell(&it, &answer, code, arrived);
+        }
+        answer
+    }
+
+    async fn perform(&mut self, it: &Statement, arrived: Instant) -> Answer {
+        if self.txn.state() == TxnState::Failed && !matches!(it.verb, Verb::Rollback | Verb::Commit) {
+            return Answer::error(Code::Malformed, "the transaction has failed", TxnState::Failed);
+        }
+        match &it.verb {
+            Verb::Set { name, value } => self.set(name, value),
+            Verb::Prepare { name, access, shape } => self.prepare(name, *access, shape),
+            Verb::Deallocate { name } => self.deallocate(name),
+            Verb::Malformed => Answer::error(Code::Malformed, "not a statement", self.txn.state()),
+            Verb::Execute { name, .. } => match self.find(name).cloned() {
+                Some(known) => self.run(it, known.access, Some(known), arrived).await,
+                None => Answer::error(Code::NoStatement, "no such named statement", self.txn.state()),
+            },
+            Verb::Run(access) => self.run(it, *access, None, arrived).await,
+            Verb::Begin(_) | Verb::Commit | Verb::Rollback => self.bound(it, arrived).await,
+        }
+    }
+
+    async fn run(
+        &mut self,
+        it: &Statement,
+        access: Access,
+        named: Option<Prepared>,
+        arrived: Instant,
+    ) -> Answer {
+        if self.txn.is_lost() {
+            return self.txn.report_lost();
+        }
+        let Some(work) = self.work(it, named, arrived) else { return self.no_database() };
+        match access {
+            _ if self.txn.is_open() => work.in_transaction(self, access).await,
+            Access::Read => work.read(self).await,
+            Access::Write => work.write(self).await,
+        }
+    }
+
+    /// Begins or ends a transaction.
+    async fn bound(&mut self, it: &Statement, arrived: Instant) -> Answer {
+        match (&it.verb, self.txn.is_open()) {
+            (Verb::Begin(access), false) => {
+                self.txn = Txn::None;
+                let Some(work) = self.work(it, None, arrived) else { return self.no_database() };
+                work.begin(self, *access).await
+            }
+            (Verb::Begin(_), true) => {
+                Answer::error(Code::Malformed, "a transaction is open already", self.txn.state())
+            }
+            (Verb::Rollback, true) => self.txn.rollback().await,
+            (Verb::Rollback, false) => {
+                self.txn = Txn::None;
+                Answer::done(TxnState::Idle)
+            }
+            (_, true) => {
+                let Some(work) = self.work(it, None, arrived) else {
+                    self.txn.rollback().await;
+                    return self.no_database();
+                };
+                work.commit(self).await
+            }
+            (_, false) if self.txn.is_lost() => self.txn.report_lost(),
+            (_, false) => Answer::error(Code::Malformed, "no transaction is open", TxnState::Idle),
+        }
+    }
+
+    fn work<'a>(&self, it: &'a Statement, named: Option<Prepared>, arrived: Instant) -> Option<Work<'a>> {
+        let route = match self.txn.route() {
+            // A changed route applies from the next transaction on.
+            Some(it) => it,
+            None => Rc::new(self.inst.desired()?.route(&self.database)?.clone()),
+        };
+        Some(Work::new(self.inst.clone(), route, it, named, arrived))
+    }
+
+    fn no_database(&self) -> Answer {
+        Answer::error(Code::NoDatabase, "the database was removed", TxnState::Idle)
+    }
+
+    fn set(&mut self, name: &Name, value: &Name) -> Answer {
+        if self.values.len() >= SESSION_NAMES {
+            return Answer::error(Code::TooLarge, "too many session values", self.txn.state());
+        }
+        let mut values = self.values.to_vec();
+        match values.binary_search_by(|it| it.0.cmp(name)) {
+            Ok(at) => values[at].1 = value.clone(),
+            Err(at) => values.insert(at, (name.clone(), value.clone())),
+        }
+        self.values = Rc::new(values);
+        Answer::done(self.txn.state())
+    }
+
+    fn find(&self, name: &Name) -> Option<&Prepared> {
+        let at = self.prepared.binary_search_by(|it| it.name.cmp(name)).ok()?;
+        Some(&self.prepared[at])
+    }
+
+    fn prepare(&mut self, name: &Name, access: Access, shape: &Name) -> Answer {
+        if self.prepared.len() >= SESSION_NAMES {
+            return Answer::error(Code::TooLarge, "too many named statements", self.txn.state());
+        }
+        let it = Prepared { name: name.clone(), access, shape: shape.clone(), alias: alias(access, shape) };
+        match self.prepared.binary_search_by(|it| it.name.cmp(name)) {
+            Ok(at) => self.prepared[at] = it,
+            Err(at) => self.prepared.insert(at, it),
+        }
+        Answer::done(self.txn.state())
+    }
+
+    fn deallocate(&mut self, name: &Name) -> Answer {
+        match self.prepared.binary_search_by(|it| it.name.cmp(name)) {
+            Ok(at) => drop(self.prepared.remove(at)),
+            Err(_) => return Answer::error(Code::NoStatement, "no such named statement", self.txn.state()),
+        }
+        Answer::done(self.txn.state())
+    }
+
+    /// One line for a statement that has no result; bounded under load.
+    fn tell(&self, it: &Statement, answer: &Answer, code: Code, arrived: Instant) {
+        let counted = match code {
+            Code::Unknown | Code::Timeout => Count::Unknown,
+            _ => Count::NotRun,
+        };
+        self.inst.counters.one(counted);
+        if !self.inst.may_log() {
+            return;
+        }
+        let id = String::from_utf8_lossy(&it.id);
+        let why = match &answer.end {
+            crate::model::End::Error { text, .. } => String::from_utf8_lossy(text).into_owned(),
+            crate::model::End::Done(_) => String::new(),
+        };
+        let took_ms = arrived.elapsed().as_millis() as u64;
+        log::info!(request = &*id, database = self.database.as_str(), code:% = code, took_ms; "no result: {why}");
+    }
+}
+
+fn alias(access: Access, shape: &Name) -> Name {
+    let access: &'static str = access.into();
+    let text = format!("{access} {shape}");
+    Name::from(format!("p{:016x}", xxh3_64(text.as_bytes())))
+}
+
+/// A message for people as the bytes of an answer.
+pub fn text(it: impl Into<String>) -> Bytes {
+    Bytes::from(it.into())
+}
--- /dev/null
+++ b/crates/engine/src/settings.rs
@@ -0,0 +1,67 @@
+//! Timeouts, limits and weights of the engine, each with where its figure comes from.
+
+use {
+    pondtrack_proto::Name,
+    std::{net::SocketAddrV4, time::Duration},
+};
+
+/// What an instance is told about itself.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its name; a new process on the same machine has the same one.
+    pub name: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where callers connect.
+    pub listen: SocketAddrV4,
+    /// From the signal to end until the process is killed.
+    pub grace: Duration,
+}
+
+/// Time for a connection to a server to open. A server takes 12 ms, a crossing of zones under 3 ms; the
+/// rest is for a server whose slots are all taken.
+pub const OPEN_LIMIT: Duration = Duration::from_millis(600);
+/// Time for a question or an order to a server. Long statements take up to 300 ms and go before it.
+pub const ORDER_LIMIT: Duration = Duration::from_millis(400);
+/// Time that a question waits for a connection; statements end sooner than that.
+pub const ASK_WAIT: Duration = Duration::from_millis(300);
+/// After a server refused a connection for its limit, no further one is opened for this long.
+pub const FULL_PAUSE: Duration = Duration::from_millis(1_000);
+/// After a server couldn't be reached, it gets no statements for this long.
+pub const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
+/// Connections of a server that no instance counts on, of each ten: room for restarts and newcomers.
+pub const SPARE_TENTH: usize = 1;
+/// Connections above its share that an instance opens when callers wait.
+pub const EXTRA_CONNS: usize = 2;
+/// Connections above the share are closed when they are idle for this long.
+pub const EXTRA_IDLE: Duration = Duration::from_secs(4);
+/// Evidence of a group's state is renewed at the next read when it is older than this. The shortest
+/// age that routes allow is 1,500 ms, and a renewal takes a few milliseconds.
+pub const EVIDENCE_AGE: Duration = Duration::from_millis(600);
+/// Taken off the age that a route allows, for what happens between the choice and the read.
+pub const AGE_MARGIN: Duration = Duration::from_millis(100);
+/// Between two questions to a replica that has not received a commit yet; a crossing of zones.
+pub const GATE_PAUSE: Duration = Duration::from_millis(2);
+/// After this long without an answer from one replica, all are asked.
+pub const ASK_OTHERS: Duration = Duration::from_millis(25);
+/// Between two rounds of questions for the primary while there is none.
+pub const PRIMARY_PAUSE: Duration = Duration::from_millis(60);
+/// Pause before a statement that didn't run is tried again, first and longest.
+pub const RETRY_PAUSE: (u64, u64) = (4, 60);
+/// Most tries of one statement.
+pub const TRIES: usize = 12;
+/// The share of the objective after which a read without an answer is also sent to another server.
+pub const HEDGE_SHARE: f64 = 0.5;
+/// When to come back after a refusal, in milliseconds.
+pub const COME_BACK_MS: u64 = 100;
+/// Time until the platform sends no new sessions: two misses of a question each second.
+pub const ROTATION_LIMIT: Duration = Duration::from_millis(2_300);
+/// A read goes to a replica when it has had this many times its usual lag to catch up.
+pub const LAG_FACTOR: f64 = 2.0;
+/// A server whose entry has been missing for this long is taken as gone. The users' pages name about two
+/// seconds after an outage of the store.
+pub const GONE_AFTER: Duration = Duration::from_millis(2_500);
+/// Named statements that a connection keeps before it is reset.
+pub const PREPARED_MOST: usize = 256;
+/// Named statements and values that a session may have.
+pub const SESSION_NAMES: usize = 1_000;
--- /dev/null
+++ b/crates/engine/src/takeover.rs
@@ -0,0 +1,349 @@
+//! Changes of primary.
+//!
+//! The holder of the [`crate::lease`] watches each group's primary. To replace it, it chooses the replica
+//! with the longest log as the next primary and stops all other replicas from receiving. From then on a
+//! commit of the old primary can only be acknowledged with the chosen replica's word, and a read of the
+//! old primary only be confirmed by it; both end the moment it becomes the primary. So nothing that was
+//! acknowledged is lost, and the old primary needn't be reached.
+
+use {
+    crate::{
+        count::Count,
+        group::{Group, Upstream, give},
+        instance::{Instance, Micros},
+        model::{Order, Role, Status},
+        ports::PromoteError,
+    },
+    futures::future::join_all,
+    pondtrack_proto::{Lsn, Name, Term},
+    std::{rc::Rc, time::Duration},
+    strum::{Display, IntoStaticStr},
+    tokio::time::{Instant, sleep},
+};
+
+/// Between two looks at the groups.
+const LOOK: Duration = Duration::from_millis(100);
+/// A primary that wasn't heard for this long is asked.
+const ASK_PRIMARY: Duration = Duration::from_millis(250);
+/// The same for replicas.
+const ASK_REPLICA: Duration = Duration::from_millis(500);
+/// Silence after which a primary is given up: an answer may take 400 ms behind long statements.
+const SILENCE: Duration = Duration::from_millis(500);
+/// The same when its address refuses connections: the process is gone.
+const REFUSED: Duration = Duration::from_millis(150);
+/// Time without a primary.
+const ABSENT: Duration = Duration::from_millis(600);
+/// Time for which no replica receives what the primary writes.
+const STALLED: Duration = Duration::from_millis(700);
+/// Time for the next primary to lead; the platform names 300 to 600 ms.
+const LEAD_LIMIT: Duration = Duration::from_millis(1_500);
+/// Between two looks at the next primary.
+const LEAD_PAUSE: Duration = Duration::from_millis(40);
+/// Between two changes of one group that failed.
+const COOLDOWN: Duration = Duration::from_millis(300);
+/// Most orders in one change.
+const ORDERS: usize = 3;
+/// A replica that was silent for this long, beside a silent primary, can't have either's word.
+const GIVEN_UP: Duration = Duration::from_millis(1_200);
+
+/// Why a primary is replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Cause {
+    /// It is about to leave.
+    Leaving,
+    /// Its address refuses connections.
+    Refused,
+    /// It doesn't answer.
+    Silent,
+    /// No replica receives what it writes.
+    Stalled,
+    /// No server leads.
+    Absent,
+}
+
+/// Why a change didn't come about.
+type Failed = &'static str;
+
+/// Watches the groups while this instance has the right to give orders, for good.
+pub async fn watch(inst: Rc<Instance>) {
+    let mut watched: Vec<Watched> = Vec::new();
+    loop {
+        sleep(LOOK).await;
+        if inst.tenure.token(inst.now()).is_none() {
+            watched.clear();
+            continue;
+        }
+        for group in inst.groups() {
+            let at = watched.binary_search_by(|it| it.group.name.cmp(&group.name)).unwrap_or_else(|at| {
+                watched.insert(at, Watched::new(group.clone(), inst.now()));
+                at
+            });
+            watched[at].look(&inst);
+        }
+    }
+}
+
+/// A group under watch.
+struct Watched {
+    group: Rc<Group>,
+    since: Micros,
+    /// The highest position of any replica, and since when the primary is ahead of it.
+    reached: Lsn,
+    ahead: Option<Micros>,
+    change: Option<tokio::task::JoinHandle<()>>,
+}
+
+impl Watched {
+    fn new(group: Rc<Group>, now: Micros) -> Watched {
+        Watched { group, since: now, reached: Lsn::default(), ahead: None, change: None }
+    }
+
+    fn look(&mut self, inst: &Rc<Instance>) {
+        let now = inst.now();
+        ask(&self.group, now);
+        self.compare(now);
+        if self.change.as_ref().is_some_and(|it| !it.is_finished()) {
+            return;
+        }
+        match self.cause(now) {
+            Some(cause) => {
+                let change = change(inst.clone(), self.group.clone(), cause);
+                self.change = Some(tokio::task::spawn_local(change));
+                self.ahead = None;
+            }
+            None => tidy(inst, &self.group, now),
+        }
+    }
+
+    /// Compares the replicas' logs with the primary's.
+    fn compare(&mut self, now: Micros) {
+        let Some(primary) = self.group.primary() else {
+            self.ahead = None;
+            return;
+        };
+        let servers = self.group.servers();
+        let replicas = servers.iter().filter(|it| it.index != primary.index);
+        let reached =
+            replicas.filter_map(|it| it.status()).map(|it| it.1.received.lsn).max().unwrap_or_default();
+        let written = primary.status().map_or(Lsn::default(), |it| it.1.received.lsn);
+        if written <= reached || reached > self.reached || servers.len() == 1 {
+            self.ahead = None;
+        } else {
+            self.ahead = self.ahead.or(Some(now));
+        }
+        self.reached = reached;
+    }
+
+    fn cause(&self, now: Micros) -> Option<Cause> {
+        let over = |since: Option<Micros>, limit: Duration| {
+            since.is_some_and(|at| now.saturating_sub(at.max(self.since)) >= limit.as_micros() as Micros)
+        };
+        let Some(primary) = self.group.primary() else {
+            return over(self.group.absent(), ABSENT).then_some(Cause::Absent);
+        };
+        if primary.entry().draining {
+            return Some(Cause::Leaving);
+        }
+        if over(primary.refused(), REFUSED) {
+            return Some(Cause::Refused);
+        }
+        if over(primary.silent(), SILENCE) {
+            return Some(Cause::Silent);
+        }
+        over(self.ahead, STALLED).then_some(Cause::Stalled)
+    }
+}
+
+/// Asks servers that weren't asked lately.
+fn ask(group: &Group, now: Micros) {
+    let primary = group.primary().map(|it| it.index);
+    for it in group.servers() {
+        let age = if primary == Some(it.index) { ASK_PRIMARY } else { ASK_REPLICA };
+        let limit = now.saturating_sub(age.as_micros() as Micros);
+        if it.status().is_none_or(|it| it.0 < limit) {
+            it.ask_after(limit);
+        }
+    }
+}
+
+/// Undoes what a change that didn't end has left: stopped replicas, and primaries of earlier terms.
+fn tidy(inst: &Rc<Instance>, group: &Rc<Group>, now: Micros) {
+    let limit = now.saturating_sub(ASK_REPLICA.as_micros() as Micros);
+    for it in group.servers() {
+        let order = match it.status() {
+            Some((at, status)) if at >= limit => match status {
+                Status { paused: Some(_), .. } => Order::Resume,
+                Status { role: Role::Primary, term, .. } if term < group.term() => {
+                    Order::StepDown(group.term())
+                }
+                _ => continue,
+            },
+            _ => continue,
+        };
+        log::info!(group = group.name.as_str(), server = it.entry().id.as_str(); "left over from a change: {order:?}");
+        let (inst, group) = (inst.clone(), group.clone());
+        tokio::task::spawn_local(async move { give(&inst, &group, &it, &order).await });
+    }
+}
+
+async fn change(inst: Rc<Instance>, group: Rc<Group>, cause: Cause) {
+    let began = Instant::now();
+    let term = group.term();
+    let old = group.primary().map_or(Name::new(), |it| it.entry().id.clone());
+    log::info!(group = group.name.as_str(), primary = old.as_str(), term = term.0, cause:% = cause; "change of primary begins");
+    let changed = Change { inst: &inst, group: &group, term, cause }.run().await;
+    let took_ms = began.elapsed().as_millis() as u64;
+    match changed {
+        Ok(id) => {
+            log::info!(group = group.name.as_str(), primary = id.as_str(), term = group.term().0, took_ms; "change of primary done");
+        }
+        Err(why) => {
+            log::warn!(group = group.name.as_str(), term = term.0, cause:% = cause, took_ms; "change of primary failed: {why}");
+            sleep(COOLDOWN).await;
+        }
+    }
+}
+
+/// One change of a group's primary.
+struct Change<'a> {
+    inst: &'a Rc<Instance>,
+    group: &'a Rc<Group>,
+    /// The term that is to end.
+    term: Term,
+    cause: Cause,
+}
+
+impl Change<'_> {
+    async fn run(&self) -> Result<Name, Failed> {
+        let old = self.group.primary();
+        let others = self.others(old.as_deref());
+        let answers = join_all(others.iter().map(|it| self.give(it, Order::Status))).await;
+        if self.group.term() > self.term || self.came_back(old.as_deref()) {
+            return Err("it is no longer needed");
+        }
+        let mut known: Vec<(&Rc<Upstream>, Status)> =
+            others.iter().zip(answers).filter_map(|(it, status)| Some((it, status?))).collect();
+        known.retain(|it| it.1.role == Role::Replica);
+        // The longest log first; of equal ones a server that stays.
+        known.sort_by_key(|it| (std::cmp::Reverse(it.1.received), it.0.entry().draining));
+        let Some(target) = known.first().map(|it| it.0.clone()) else { return Err("no replica answers") };
+        let target = self.stop_others(&others, &target).await?;
+        let led = self.promote(&target).await;
+        self.clean(&others, old.as_deref(), &target).await;
+        led.map(|()| target.entry().id.clone())
+    }
+
+    /// Servers beside the primary; those that leave only if there are no others.
+    fn others(&self, old: Option<&Upstream>) -> Vec<Rc<Upstream>> {
+        let mut others = self.group.servers();
+        others.retain(|it| old.is_none_or(|old| old.index != it.index));
+        others
+    }
+
+    async fn give(&self, it: &Upstream, order: Order) -> Option<Status> {
+        give(self.inst, self.group, it, &order).await
+    }
+
+    /// Whether the primary was heard after it had been given up.
+    fn came_back(&self, old: Option<&Upstream>) -> bool {
+        let Some(old) = old else { return false };
+        match self.cause {
+            Cause::Silent => old.silent().is_none(),
+            Cause::Refused => old.refused().is_none(),
+            Cause::Leaving | Cause::Stalled | Cause::Absent => false,
+        }
+    }
+
+    /// Stops every replica but the next primary from receiving. Hands back the next primary: another one
+    /// if a stopped replica turns out to have a longer log.
+    async fn stop_others(
+        &self,
+        others: &[Rc<Upstream>],
+        target: &Rc<Upstream>,
+    ) -> Result<Rc<Upstream>, Failed> {
+        let next = Term(self.term.0 + 1);
+        let rest: Vec<&Rc<Upstream>> = others.iter().filter(|it| it.index != target.index).collect();
+        let answers = join_all(rest.iter().map(|it| self.give(it, Order::Pause(next)))).await;
+        let reachable = rest.iter().zip(&answers).all(|(it, status)| status.is_some() || self.is_out(it));
+        if !reachable {
+            self.resume(&rest).await;
+            return Err("a replica can't be stopped");
+        }
+        let stopped =
+            rest.iter().zip(&answers).filter_map(|(it, status)| Some((*it, status.as_ref()?.received)));
+        let Some((longest, received)) = stopped.max_by_key(|it| it.1) else { return Ok(target.clone()) };
+        let own = self.give(target, Order::Status).await.ok_or("the next primary doesn't answer")?;
+        if own.received >= received {
+            return Ok(target.clone());
+        }
+        // What it lacks may have been acknowledged with the stopped replica's word.
+        match self.give(target, Order::Pause(next)).await {
+            Some(_) => Ok(longest.clone()),
+            None => Err("the next primary doesn't answer"),
+        }
+    }
+
+    /// Whether a replica that can't be stopped can't speak for the old primary either.
+    fn is_out(&self, it: &Upstream) -> bool {
+        let now = self.inst.now();
+        let long = |since: Option<Micros>| {
+            since.is_some_and(|at| now.saturating_sub(at) >= GIVEN_UP.as_micros() as Micros)
+        };
+        it.refused().is_some() || long(it.silent())
+    }
+
+    async fn promote(&self, target: &Upstream) -> Result<(), Failed> {
+        let entry = target.entry();
+        for _ in 0..ORDERS {
+            let now = self.inst.now();
+            let token = self.inst.tenure.token(now).ok_or("the right to promote has ended")?;
+            self.inst.counters.one(Count::Promotions);
+            let holder = self.inst.settings.name.clone();
+            let order =
+                self.inst.edge.promoter.promote(self.group.name.clone(), entry.id.clone(), holder, token);
+            let ordered = order.await;
+            log::info!(group = self.group.name.as_str(), server = entry.id.as_str(), token, outcome:? = ordered; "promotion ordered");
+            match ordered {
+                Ok(()) | Err(PromoteError::Unanswered { .. }) => {}
+                Err(PromoteError::NotRunning) => return Err("the next primary isn't running"),
+                Err(PromoteError::Refused { .. }) => {
+                    sleep(LEAD_PAUSE).await;
+                    continue;
+                }
+            }
+            if self.leads(target).await {
+                return Ok(());
+            }
+        }
+        Err("the next primary doesn't lead")
+    }
+
+    /// Waits until a server leads a later term.
+    async fn leads(&self, target: &Upstream) -> bool {
+        let end = Instant::now() + LEAD_LIMIT;
+        while Instant::now() < end {
+            match self.give(target, Order::Status).await {
+                Some(it) if it.role == Role::Primary && it.term > self.term => return true,
+                _ => sleep(LEAD_PAUSE).await,
+            }
+        }
+        false
+    }
+
+    /// Lets replicas receive again, and makes the old primary follow if it can be reached.
+    async fn clean(&self, others: &[Rc<Upstream>], old: Option<&Upstream>, target: &Upstream) {
+        let rest: Vec<&Rc<Upstream>> = others.iter().filter(|it| it.index != target.index).collect();
+        let term = self.group.term();
+        let step_down = async {
+            if let Some(old) = old.filter(|it| term > self.term && it.silent().is_none()) {
+                self.give(old, Order::StepDown(term)).await;
+            }
+        };
+        tokio::join!(self.resume(&rest), step_down);
+    }
+
+    async fn resume(&self, servers: &[&Rc<Upstream>]) {
+        join_all(servers.iter().map(|it| self.give(it, Order::Resume))).await;
+    }
+}
--- /dev/null
+++ b/crates/engine/src/txn.rs
@@ -0,0 +1,277 @@
+//! Transactions: one connection to one server from the first statement to the last.
+
+use {
+    crate::{
+        count::Count,
+        group::{Group, Upstream},
+        instance::Instance,
+        model::{Access, Answer, Code, Order, ReadPolicy, Route, TxnState},
+        pool::Lease,
+        session::{Session, text},
+        settings::{ORDER_LIMIT, RETRY_PAUSE, TRIES},
+        statement::{Miss, Work, align, busy, exchange, unknown},
+    },
+    bytes::BytesMut,
+    pondtrack_core::retry::Backoff,
+    std::rc::Rc,
+    tokio::time::{Instant, timeout, timeout_at},
+};
+
+/// A session's transaction.
+pub enum Txn {
+    /// There is none.
+    None,
+    /// One is open.
+    Open(Box<OpenTxn>),
+    /// One was rolled back, which the caller doesn't know yet.
+    Lost(&'static str),
+}
+
+/// An open transaction.
+pub struct OpenTxn {
+    inst: Rc<Instance>,
+    group: Rc<Group>,
+    up: Rc<Upstream>,
+    route: Rc<Route>,
+    lease: Lease,
+    state: TxnState,
+    wrote: bool,
+}
+
+impl Txn {
+    /// Whether one is open.
+    pub fn is_open(&self) -> bool {
+        matches!(self, Txn::Open(_))
+    }
+
+    /// Whether one was rolled back, which the caller doesn't know yet.
+    pub fn is_lost(&self) -> bool {
+        matches!(self, Txn::Lost(_))
+    }
+
+    /// Its state, as the caller knows it.
+    pub fn state(&self) -> TxnState {
+        match self {
+            Txn::None => TxnState::Idle,
+            Txn::Open(it) => it.state,
+            Txn::Lost(_) => TxnState::Open,
+        }
+    }
+
+    /// The route that it began with.
+    pub fn route(&self) -> Option<Rc<Route>> {
+        match self {
+            Txn::Open(it) => Some(it.route.clone()),
+            Txn::None | Txn::Lost(_) => None,
+        }
+    }
+
+    /// Gives it up; the closed connection rolls it back.
+    pub fn lose(&mut self, why: &'static str) {
+        *self = Txn::Lost(why);
+    }
+
+    /// Tells the caller of a transaction that was given up: nothing of it is kept.
+    pub fn report_lost(&mut self) -> Answer {
+        let why = match std::mem::replace(self, Txn::None) {
+            Txn::Lost(why) => why,
+            Txn::None | Txn::Open(_) => "it is gone",
+        };
+        Answer::error(Code::Aborted, text(format!("the transaction was rolled back: {why}")), TxnState::Idle)
+    }
+
+    /// Rolls it back for the caller.
+    pub async fn rollback(&mut self) -> Answer {
+        self.abandon().await;
+        Answer::done(TxnState::Idle)
+    }
+
+    /// Rolls it back; the connection is kept if the server answers.
+    pub async fn abandon(&mut self) {
+        if let Txn::Open(it) = std::mem::replace(self, Txn::None) {
+            let OpenTxn { inst, mut lease, .. } = *it;
+            let Some(conn) = lease.conn() else { return };
+            let order = conn.order(inst.edge.dialect.as_ref(), &Order::Rollback);
+            if let Ok(Ok(answer)) = timeout(ORDER_LIMIT, order).await
+                && answer.is_done()
+                && answer.txn == TxnState::Idle
+            {
+                lease.give_back();
+            }
+        }
+    }
+}
+
+impl Work<'_> {
+    /// Begins a transaction.
+    pub async fn begin(&self, session: &mut Session, access: Access) -> Answer {
+        let Some(group) = self.inst.group(&self.route.group) else {
+            return busy("the group has no servers", TxnState::Idle);
+        };
+        let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
+        let mut tried = Vec::new();
+        while tried.len() < TRIES && Instant::now() < self.end {
+            match self.try_begin(session, &group, access, &mut tried).await {
+                Ok(it) => {
+                    session.txn = Txn::Open(Box::new(it));
+                    return Answer::done(TxnState::Open);
+                }
+                Err(Some(answer)) => return answer,
+                Err(None) => self.pause(&mut backoff).await,
+            }
+            self.inst.counters.one(Count::Retries);
+        }
+        busy("no server takes the transaction", TxnState::Idle)
+    }
+
+    async fn try_begin(
+        &self,
+        session: &Session,
+        group: &Rc<Group>,
+        access: Access,
+        tried: &mut Vec<usize>,
+    ) -> Result<OpenTxn, Option<Answer>> {
+        let term = group.term();
+        let need = self.need(session, group).await.map_err(Miss::refusal)?;
+        let chosen = match (access, need.mark) {
+            (Access::Read, Some(_)) => group.choose(&self.inst, need.since, tried),
+            _ => None,
+        };
+        let up = match chosen {
+            Some(it) => it,
+            None => {
+                let primary = group.wait_primary(self.end).await;
+                primary.ok_or_else(|| Some(busy("the group has no primary", TxnState::Idle)))?
+            }
+        };
+        tried.push(up.index);
+        let mut lease = self.lend(session, &up, self.end).await.map_err(Miss::refusal)?;
+        let mut out = BytesMut::new();
+        self.inst.edge.dialect.order(&Order::Begin(access), need.mark, &mut out);
+        let sent = self.inst.now();
+        let answer = match timeout_at(self.end, exchange(&self.inst, &mut lease, &out)).await {
+            Ok(Ok(it)) => it,
+            Ok(Err(_)) | Err(_) => {
+                up.unanswered(sent);
+                up.ask();
+                return Err(None);
+            }
+        };
+        self.judge(group, &up, &answer, sent, self.inst.now());
+        match answer.code() {
+            None => {}
+            Some(code) => {
+                if answer.txn == TxnState::Idle {
+                    lease.give_back();
+                }
+                return Err((!code.not_run() && code != Code::Failed).then_some(answer));
+            }
+        }
+        if self.route.policy == ReadPolicy::Latest
+            && !group.confirm(&self.inst, term, self.since, self.end).await
+        {
+            return Err(Some(busy("the primary isn't confirmed", TxnState::Idle)));
+        }
+        let (inst, group, route) = (self.inst.clone(), group.clone(), self.route.clone());
+        Ok(OpenTxn { inst, group, up, route, lease, state: TxnState::Open, wrote: false })
+    }
+
+    /// Runs a statement of an open transaction.
+    pub async fn in_transaction(&self, session: &mut Session, access: Access) -> Answer {
+        let values = session.values.clone();
+        let Txn::Open(txn) = &mut session.txn else { return busy("no transaction", TxnState::Idle) };
+        let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
+        loop {
+            let ready = align(&self.inst, &mut txn.lease, &values, self.named.as_ref());
+            if !matches!(timeout_at(self.end, ready).await, Ok(true)) {
+                session.txn.lose("its connection to the server broke");
+                return session.txn.report_lost();
+            }
+            let mut out = BytesMut::new();
+            self.put(None, &mut out);
+            let sent = self.inst.now();
+            let got = timeout_at(self.end, exchange(&self.inst, &mut txn.lease, &out)).await;
+            let Ok(Ok(answer)) = got else {
+                txn.up.unanswered(sent);
+                txn.up.ask();
+                session.txn.lose("the server didn't answer");
+                return session.txn.report_lost();
+            };
+            self.judge(&txn.group, &txn.up, &answer, sent, self.inst.now());
+            // Provably not run, and the transaction goes on.
+            let again =
+                matches!(answer.code(), Some(Code::Busy | Code::NoStatement)) && answer.txn == TxnState::Open;
+            if again && Instant::now() < self.end {
+                if answer.code() == Some(Code::NoStatement)
+                    && let Some(conn) = txn.lease.conn()
+                {
+                    conn.prepared.clear();
+                }
+                self.pause(&mut backoff).await;
+                continue;
+            }
+            txn.wrote |= access == Access::Write && answer.is_done();
+            txn.state = answer.txn;
+            if answer.txn == TxnState::Idle {
+                // The server has ended it.
+                session.txn = Txn::None;
+            }
+            return answer;
+        }
+    }
+
+    /// Commits a transaction.
+    pub async fn commit(&self, session: &mut Session) -> Answer {
+        let Txn::Open(txn) = std::mem::replace(&mut session.txn, Txn::None) else {
+            return busy("no transaction", TxnState::Idle);
+        };
+        if txn.state == TxnState::Failed {
+            session.txn = Txn::Open(txn);
+            session.txn.rollback().await;
+            return Answer::error(Code::Aborted, "the transaction had failed", TxnState::Idle);
+        }
+        let OpenTxn { group, up, mut lease, wrote, .. } = *txn;
+        let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
+        let mut out = BytesMut::new();
+        self.put(None, &mut out);
+        loop {
+            let sent = self.inst.now();
+            let got = timeout_at(self.end, exchange(&self.inst, &mut lease, &out)).await;
+            let answer = match got {
+                Ok(Ok(it)) => it,
+                Ok(Err(_)) | Err(_) => {
+                    up.unanswered(sent);
+                    up.ask();
+                    return match wrote {
+                        true => unknown("the commit wasn't answered"),
+                        false => Answer::error(Code::Aborted, "the server didn't answer", TxnState::Idle),
+                    };
+                }
+            };
+            self.judge(&group, &up, &answer, sent, self.inst.now());
+            if answer.code() == Some(Code::Busy) && answer.txn == TxnState::Open && Instant::now() < self.end
+            {
+                self.pause(&mut backoff).await;
+                continue;
+            }
+            return match answer.code() {
+                None if answer.txn == TxnState::Idle => {
+                    lease.give_back();
+                    match wrote {
+                        true => self.acknowledge(session, &group, answer).await,
+                        false => answer,
+                    }
+                }
+                // Dropped, the connection rolls back whatever is open on it.
+                Some(Code::Busy | Code::ReadOnly | Code::NoStatement) => {
+                    Answer::error(Code::Aborted, "the server refused to commit", TxnState::Idle)
+                }
+                Some(_) if answer.txn == TxnState::Idle => {
+                    lease.give_back();
+                    answer
+                }
+                _ => unknown("the commit had no clear answer"),
+            };
+        }
+    }
+}
--- a/crates/pondtrackd/src/home/mod.rs
+++ b/crates/pondtrackd/src/home/mod.rs
@@ -297,7 +297,7 @@
         drop(view);
         self.fresh.borrow_mut().confirm(server, position.term, sent);
         if position.role == Role::Primary {
-            self.fresh.borrow_mut().observe(position.term, position.received.lsn, sent);
+            self.fresh.borrow_mut().observe(position.term, position.received, sent);
             self.begin_term(node, position.term);
         }
         let waited = self.gate.borrow().waiting();
--- a/crates/pondtrackd/src/lib.rs
+++ b/crates/pondtrackd/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! | module | holds |
 //! | --- | --- |
+//! | [`hosted`] | an instance on the users' platform |
 //! | [`settings`] | flags and environment variables, checked before anything listens |
 //! | [`node`] | what the parts of an instance share |
 //! | [`entry`] | callers' sessions |
@@ -23,6 +24,7 @@
 pub mod forward;
 pub mod gossip;
 pub mod home;
+pub mod hosted;
 pub mod keeper;
 pub mod node;
 pub mod peers;
--- a/crates/pondtrackd/src/main.rs
+++ b/crates/pondtrackd/src/main.rs
@@ -1,7 +1,13 @@
 //! The program `pondtrackd`: one instance.
 
-use std::process::ExitCode;
+use {
+    pondtrackd::{hosted, program, settings::Mode},
+    std::process::ExitCode,
+};
 
 fn main() -> ExitCode {
-    pondtrackd::program::main(pondtrackd::Settings::from_command_line())
+    match Mode::from_command_line() {
+        Mode::Hosted(it) => hosted::main(it),
+        Mode::Own(it) => program::main(*it),
+    }
 }
--- a/crates/pondtrackd/src/settings.rs
+++ b/crates/pondtrackd/src/settings.rs
@@ -1,6 +1,7 @@
 //! Flags and environment variables, checked before anything listens.
 
 use {
+    crate::hosted::{Hosted, hosted_parser},
     bpaf::{Bpaf, OptionParser, Parser},
     pondtrack_core::{detect::DetectConfig, spread::Choice},
     pondtrack_proto::{Name, group::is_name},
@@ -122,20 +123,37 @@
     }
 }
 
-/// The parser with its help.
-pub fn options() -> OptionParser<Settings> {
-    let about = "An instance of pondtrack, a database proxy with session consistency.\n\n\
-                 Every flag can be given as an environment variable instead: PONDTRACK_ and the flag in \
-                 capitals, with underscores.";
-    settings_parser().to_options().descr(about).version(env!("CARGO_PKG_VERSION"))
+/// How an instance is run.
+#[derive(Clone, Debug)]
+pub enum Mode {
+    /// On the users' platform, which writes a settings file.
+    Hosted(Hosted),
+    /// With settings of its own, before servers that speak the PostgreSQL protocol.
+    Own(Box<Settings>),
 }
 
-impl Settings {
+impl Mode {
     /// Reads the command line and the environment; prints and ends on an error.
-    pub fn from_command_line() -> Settings {
-        options().run()
+    pub fn from_command_line() -> Mode {
+        let hosted = hosted_parser().map(Mode::Hosted).to_options();
+        let hosted =
+            hosted.descr("Runs on the users' platform, with the settings file it writes").command("hosted");
+        let own = settings_parser().map(|it| Mode::Own(Box::new(it)));
+        bpaf::construct!([hosted, own]).to_options().descr(ABOUT).version(env!("CARGO_PKG_VERSION")).run()
     }
+}
+
+/// What the help says first.
+const ABOUT: &str = "An instance of pondtrack, a database proxy with session consistency.\n\n\
+                     Every flag can be given as an environment variable instead: PONDTRACK_ and the flag in \
+                     capitals, with underscores.";
 
+/// The parser with its help.
+pub fn options() -> OptionParser<Settings> {
+    settings_parser().to_options().descr(ABOUT).version(env!("CARGO_PKG_VERSION"))
+}
+
+impl Settings {
     /// Reads arguments, for tests.
     pub fn from_args(args: &[&str]) -> Result<Settings, String> {
         let failed = |e: bpaf::ParseFailure| format!("{e:?}");
--- a/crates/pondtrackd/src/telemetry.rs
+++ b/crates/pondtrackd/src/telemetry.rs
@@ -126,8 +126,7 @@
 pub async fn serve(listen: SocketAddr) -> std::io::Result<SocketAddr> {
     let listener = tokio::net::TcpListener::bind(listen).await?;
     let addr = listener.local_addr()?;
-    let render = || async { install().map(PrometheusHandle::render).unwrap_or_default() };
-    let app = axum::Router::new().route("/metrics", axum::routing::get(render));
+    let app = axum::Router::new().route("/metrics", axum::routing::get(async || render()));
     tokio::task::spawn_local(async move {
         if let Err(e) = axum::serve(listener, app).await {
             log::error!(step = "metrics"; "{e}");
@@ -157,6 +156,17 @@
     Ok(logger.format(line).start().ok())
 }
 
+/// The metrics as text.
+pub fn render() -> String {
+    install().map(PrometheusHandle::render).unwrap_or_default()
+}
+
+/// Begins logging to standard output; a second call changes nothing.
+pub fn log_to_stdout(spec: &str) -> Result<Option<flexi_logger::LoggerHandle>, String> {
+    let logger = flexi_logger::Logger::try_with_str(spec).map_err(|e| e.to_string())?;
+    Ok(logger.log_to_stdout().format(line).start().ok())
+}
+
 /// One line a record: time, level, place, text, then the structured values.
 fn line(
     out: &mut dyn std::io::Write,
