--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -11,7 +11,7 @@
         model::{Order, Role, Server, Status},
         pool::{Denied, Pool, Want},
         settings::{
-            ASK_OTHERS, ASK_WAIT, EVIDENCE_AGE, GATE_PAUSE, LAG_FACTOR, ORDER_LIMIT, PRIMARY_PAUSE,
+            ASK_OTHERS, ASK_WAIT, DRAIN_USE, EVIDENCE_AGE, GATE_PAUSE, LAG_FACTOR, ORDER_LIMIT, PRIMARY_PAUSE,
             UNREACHABLE_PAUSE,
         },
     },
@@ -49,6 +49,8 @@
     silent: Cell<Option<Micros>>,
     refused: Cell<Option<Micros>>,
     avoid: Cell<Micros>,
+    /// Since when it says that it leaves.
+    draining: Cell<Option<Micros>>,
     missing: Cell<Option<Micros>>,
     gone: Cell<bool>,
     /// When the question that is out was sent.
@@ -82,6 +84,12 @@
         self.refused.get()
     }
 
+    /// Whether new work may go to it: not for long after it said that it leaves.
+    pub fn takes_work(&self, now: Micros) -> bool {
+        let limit = DRAIN_USE.as_micros() as Micros;
+        !self.is_gone() && self.draining.get().is_none_or(|at| now.saturating_sub(at) < limit)
+    }
+
     /// Whether it has left the directory for good.
     pub fn is_gone(&self) -> bool {
         self.gone.get()
@@ -213,6 +221,7 @@
         let hint = server.role == Some(Role::Primary) && it.entry().role != server.role;
         it.missing.set(None);
         it.gone.set(false);
+        it.draining.set(server.draining.then(|| it.draining.get().unwrap_or(inst.now())));
         *it.entry.borrow_mut() = Rc::new(server);
         if hint {
             it.ask();
@@ -246,6 +255,7 @@
 
     fn add(self: &Rc<Self>, inst: &Rc<Instance>, server: Server) {
         let index = self.servers.borrow().len();
+        let draining = server.draining.then(|| inst.now());
         let it = Rc::new(Upstream {
             index,
             pool: Rc::default(),
@@ -257,6 +267,7 @@
             silent: Cell::default(),
             refused: Cell::default(),
             avoid: Cell::default(),
+            draining: Cell::new(draining),
             missing: Cell::default(),
             gone: Cell::default(),
             asked: Cell::default(),
@@ -384,12 +395,14 @@
             self.primary.get() == Some(it.index) || age >= it.lag.get().get() as f64 * LAG_FACTOR
         };
         let servers = self.servers();
-        let usable = servers.iter().filter(|it| caught_up(it) && it.silent.get().is_none());
-        usable
+        let usable = |it: &&Rc<Upstream>| caught_up(it) && it.silent.get().is_none() && it.takes_work(now);
+        servers
+            .iter()
+            .filter(usable)
             .min_by_key(|it| {
                 let again = tried.iter().filter(|n| **n == it.index).count();
-                let rest = (it.entry().draining, it.avoid.get() > now, !it.pool.is_free());
-                (again, rest, self.offer(inst, it, now).cost())
+                let rest = (it.avoid.get() > now, !it.pool.is_free());
+                (it.entry().draining, again, rest, self.offer(inst, it, now).cost())
             })
             .cloned()
     }
@@ -490,10 +503,11 @@
     }
 
     /// Waits for a primary that answers.
-    pub async fn wait_primary(&self, end: Instant) -> Option<Rc<Upstream>> {
+    pub async fn wait_primary(&self, inst: &Instance, end: Instant) -> Option<Rc<Upstream>> {
         loop {
             let changed = self.changed.notified();
-            if let Some(it) = self.primary().filter(|it| it.silent().is_none()) {
+            let usable = |it: &Rc<Upstream>| it.silent().is_none() && it.takes_work(inst.now());
+            if let Some(it) = self.primary().filter(usable) {
                 return Some(it);
             }
             if Instant::now() >= end {
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -58,6 +58,9 @@
 pub const ROTATION_LIMIT: Duration = Duration::from_millis(2_300);
 /// A read goes to a replica when it has had this many times its usual lag to catch up.
 pub const LAG_FACTOR: f64 = 2.0;
+/// How long a leaving server may get new work, where no other can do it. The shortest time that the users'
+/// deployments name is 7,000 ms from the store's word, which may reach this instance late.
+pub const DRAIN_USE: Duration = Duration::from_millis(4_500);
 /// A server whose entry has been missing for this long is taken as gone. The users' pages name about two
 /// seconds after an outage of the store.
 pub const GONE_AFTER: Duration = Duration::from_millis(2_500);
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -187,7 +187,7 @@
         };
         let up = match up {
             Some(it) => it,
-            None => group.wait_primary(self.end).await.ok_or(Miss::Late("the group has no primary"))?,
+            None => group.wait_primary(&self.inst, self.end).await.ok_or(Miss::Late("the group has no primary"))?,
         };
         tried.push(up.index);
         let wait = self.route.objective / 4;
@@ -308,7 +308,7 @@
         };
         let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
         for _ in 0..TRIES {
-            let Some(up) = group.wait_primary(self.end).await else {
+            let Some(up) = group.wait_primary(&self.inst, self.end).await else {
                 return busy("the group has no primary", TxnState::Idle);
             };
             let mut lease = match self.lend(session, &up, self.end).await {
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -140,7 +140,7 @@
         let up = match chosen {
             Some(it) => it,
             None => {
-                let primary = group.wait_primary(self.end).await;
+                let primary = group.wait_primary(&self.inst, self.end).await;
                 primary.ok_or_else(|| Some(busy("the group has no primary", TxnState::Idle)))?
             }
         };
