Evidence: questions to servers are paced, whoever waits for them

Change: a question asked since the wanted time isn't asked again; a commit's questions back off to 32 ms.

--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         count::Count,
-        instance::{Instance, Micros},
+        instance::{Instance, Micros, micros},
         ports::{Collection, InstanceRecord, Object, Objects, Record, StoreError},
         settings::GONE_AFTER,
     },
@@ -97,7 +97,7 @@
 pub async fn sweep(inst: Rc<Instance>) {
     loop {
         sleep(SWEEP).await;
-        let limit = inst.now().saturating_sub(GONE_AFTER.as_micros() as Micros);
+        let limit = inst.now().saturating_sub(micros(GONE_AFTER));
         for group in inst.groups() {
             for id in group.expire(limit) {
                 log::info!(group = group.name.as_str(), server = id.as_str(); "server gone");
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -7,12 +7,12 @@
 use {
     crate::{
         count::Count,
-        instance::{Instance, Micros},
+        instance::{Instance, Micros, micros},
         model::{Order, Role, Server, Status},
         pool::{Denied, Pool, Want},
         settings::{
-            ASK_OTHERS, ASK_WAIT, DRAIN_USE, EVIDENCE_AGE, GATE_PAUSE, LAG_FACTOR, ORDER_LIMIT, PRIMARY_PAUSE,
-            UNREACHABLE_PAUSE,
+            ASK_OTHERS, ASK_WAIT, DRAIN_USE, EVIDENCE_AGE, GATE_PAUSE, GATE_PAUSE_MOST, LAG_FACTOR,
+            ORDER_LIMIT, PRIMARY_PAUSE, UNREACHABLE_PAUSE,
         },
     },
     pondtrack_core::{
@@ -53,8 +53,8 @@
     draining: Cell<Option<Micros>>,
     missing: Cell<Option<Micros>>,
     gone: Cell<bool>,
-    /// When the question that is out was sent.
-    asked: Cell<Option<Micros>>,
+    /// When it was last asked.
+    asked: Cell<Micros>,
     nudge: Notify,
 }
 
@@ -86,7 +86,7 @@
 
     /// Whether new work may go to it: not for long after it said that it leaves.
     pub fn takes_work(&self, now: Micros) -> bool {
-        let limit = DRAIN_USE.as_micros() as Micros;
+        let limit = micros(DRAIN_USE);
         !self.is_gone() && self.draining.get().is_none_or(|at| now.saturating_sub(at) < limit)
     }
 
@@ -122,12 +122,12 @@
             self.refused.set(Some(now));
         }
         self.unanswered(now);
-        self.avoid.set(now + UNREACHABLE_PAUSE.as_micros() as Micros);
+        self.avoid.set(now + micros(UNREACHABLE_PAUSE));
     }
 
     /// It has too much to do: others are preferred for a moment.
     pub fn busy(&self, now: Micros, pause: Duration) {
-        self.avoid.set(now + pause.as_micros() as Micros);
+        self.avoid.set(now + micros(pause));
     }
 
     /// A read showed that its log holds, or lacks, a position of this age.
@@ -146,9 +146,9 @@
         self.nudge.notify_one();
     }
 
-    /// The same, unless a question is out that was sent at `since` or later.
+    /// The same, unless it was asked at `since` or later.
     pub fn ask_after(&self, since: Micros) {
-        if self.asked.get().is_none_or(|at| at < since) {
+        if self.asked.get() < since {
             self.ask();
         }
     }
@@ -324,7 +324,7 @@
     pub fn denied(&self, it: &Upstream, now: Micros) {
         if self.primary.get() == Some(it.index) {
             self.lose_primary(now);
-            self.ask_all();
+            self.ask_all(now);
         }
     }
 
@@ -354,10 +354,10 @@
         self.servers.borrow().iter().filter(|it| !it.is_gone()).count() == 1
     }
 
-    /// Asks every server for its account of itself.
-    pub fn ask_all(&self) {
+    /// Asks every server for its account of itself that wasn't asked at `since` or later.
+    pub fn ask_all(&self, since: Micros) {
         for it in self.servers() {
-            it.ask();
+            it.ask_after(since);
         }
     }
 
@@ -410,7 +410,7 @@
     /// The position that holds everything acknowledged longer ago than `age`, and since when it is known
     /// to. Evidence is renewed if it is getting old; none if that fails before the end.
     pub async fn needed(&self, inst: &Instance, age: Duration, end: Instant) -> Option<(Micros, Mark)> {
-        let age = age.as_micros() as Micros;
+        let age = micros(age);
         loop {
             let changed = self.changed.notified();
             let now = inst.now();
@@ -429,7 +429,7 @@
 
     /// Has evidence that is getting old, or is not `enough`, renewed.
     fn renew(&self, inst: &Instance, now: Micros, enough: bool) {
-        let limit = now.saturating_sub(EVIDENCE_AGE.as_micros() as Micros);
+        let limit = now.saturating_sub(micros(EVIDENCE_AGE));
         let (observed, confirmed) = {
             let it = self.fresh.borrow();
             (it.observed_at().unwrap_or_default(), it.confirmed_at().unwrap_or_default())
@@ -437,7 +437,7 @@
         match self.primary() {
             Some(it) if observed < limit || observed == 0 => it.ask_after(limit),
             Some(_) => {}
-            None => self.ask_all(),
+            None => self.ask_all(now.saturating_sub(micros(PRIMARY_PAUSE))),
         }
         // A confirmation counts for what was observed before it.
         if confirmed < limit || (!enough && confirmed <= observed) {
@@ -461,8 +461,8 @@
                 return false;
             }
             if timeout(patience, changed).await.is_err() {
+                self.ask_all(inst.now().saturating_sub(micros(patience)).max(since));
                 patience = (patience * 2).min(ORDER_LIMIT);
-                self.ask_all();
             }
         }
     }
@@ -482,11 +482,12 @@
 
     async fn wait_replicated(&self, inst: &Instance, term: Term, at: Lsn, end: Instant) -> bool {
         let began = Instant::now();
+        let mut pause = GATE_PAUSE;
+        let mut sent = inst.now();
         loop {
-            let sent = inst.now();
             match began.elapsed() < ASK_OTHERS {
                 true => self.ask_replica(inst, sent),
-                false => self.ask_all(),
+                false => self.ask_all(sent),
             }
             let answered = timeout(ASK_OTHERS, self.changed.notified()).await.is_ok();
             let (known, durable) = {
@@ -496,9 +497,11 @@
             match known == term && durable >= at {
                 true => return true,
                 false if known > term || Instant::now() >= end => return false,
-                false if answered => sleep(GATE_PAUSE).await,
+                false if answered => sleep(pause).await,
                 false => {}
             }
+            sent = inst.now().saturating_sub(micros(pause));
+            pause = (pause * 2).min(GATE_PAUSE_MOST);
         }
     }
 
@@ -514,7 +517,7 @@
                 return None;
             }
             if timeout(PRIMARY_PAUSE, changed).await.is_err() {
-                self.ask_all();
+                self.ask_all(inst.now().saturating_sub(micros(PRIMARY_PAUSE)));
             }
         }
     }
@@ -554,10 +557,8 @@
     let sent = inst.now();
     inst.counters.one(Count::Orders);
     let dialect = inst.edge.dialect.as_ref();
-    it.asked.set(Some(sent));
-    let answer = timeout(ORDER_LIMIT, lease.conn()?.order(dialect, order)).await;
-    it.asked.set(None);
-    let answer = match answer {
+    it.asked.set(sent);
+    let answer = match timeout(ORDER_LIMIT, lease.conn()?.order(dialect, order)).await {
         Ok(Ok(it)) => it,
         Ok(Err(e)) => {
             log::debug!(server = server.id.as_str(); "{e}");
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -14,6 +14,7 @@
     std::{
         cell::{Cell, RefCell, RefMut},
         rc::Rc,
+        time::Duration,
     },
     tokio::{sync::Notify, time::Instant},
 };
@@ -21,6 +22,11 @@
 /// Microseconds of the instance's monotonic clock.
 pub type Micros = u64;
 
+/// A duration on the instance's clock.
+pub const fn micros(it: Duration) -> Micros {
+    it.as_micros() as Micros
+}
+
 /// Lines about requests in each span of time, a second: enough to see a pattern, too few to cost much.
 const LINES: u32 = 30;
 /// The span, in microseconds.
--- a/crates/engine/src/lease.rs
+++ b/crates/engine/src/lease.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         count::Count,
-        instance::{Instance, Micros},
+        instance::{Instance, Micros, micros},
         ports::{Collection, LeaseRecord, Object, Record, StoreError},
     },
     pondtrack_proto::Name,
@@ -123,7 +123,7 @@
 
     fn may_take(&self) -> bool {
         let now = self.inst.now();
-        let over = |since: Micros, limit: Duration| now.saturating_sub(since) >= limit.as_micros() as Micros;
+        let over = |since: Micros, limit: Duration| now.saturating_sub(since) >= micros(limit);
         match &self.seen {
             None => true,
             Some(it) if it.record.holder.is_empty() => true,
@@ -190,7 +190,7 @@
     }
 
     fn hold(&self, token: u64, sent: Micros) {
-        let until = sent + HOLD.as_micros() as Micros;
+        let until = sent + micros(HOLD);
         self.inst.tenure.held.set(Some(Held { token, until }));
     }
 
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -42,6 +42,8 @@
 pub const AGE_MARGIN: Duration = Duration::from_millis(100);
 /// Between two questions to a replica that has not received a commit yet; a crossing of zones.
 pub const GATE_PAUSE: Duration = Duration::from_millis(2);
+/// The longest pause of this kind, for a replica that falls behind.
+pub const GATE_PAUSE_MOST: Duration = Duration::from_millis(32);
 /// After this long without an answer from one replica, all are asked.
 pub const ASK_OTHERS: Duration = Duration::from_millis(25);
 /// Between two rounds of questions for the primary while there is none.
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -187,7 +187,10 @@
         };
         let up = match up {
             Some(it) => it,
-            None => group.wait_primary(&self.inst, self.end).await.ok_or(Miss::Late("the group has no primary"))?,
+            None => group
+                .wait_primary(&self.inst, self.end)
+                .await
+                .ok_or(Miss::Late("the group has no primary"))?,
         };
         tried.push(up.index);
         let wait = self.route.objective / 4;
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -10,7 +10,7 @@
     crate::{
         count::Count,
         group::{Group, Upstream, give},
-        instance::{Instance, Micros},
+        instance::{Instance, Micros, micros},
         model::{Order, Role, Status},
         ports::PromoteError,
     },
@@ -137,7 +137,7 @@
 
     fn cause(&self, now: Micros) -> Option<Cause> {
         let over = |since: Option<Micros>, limit: Duration| {
-            since.is_some_and(|at| now.saturating_sub(at.max(self.since)) >= limit.as_micros() as Micros)
+            since.is_some_and(|at| now.saturating_sub(at.max(self.since)) >= micros(limit))
         };
         let Some(primary) = self.group.primary() else {
             return over(self.group.absent(), ABSENT).then_some(Cause::Absent);
@@ -160,7 +160,7 @@
     let primary = group.primary().map(|it| it.index);
     for it in group.servers() {
         let age = if primary == Some(it.index) { ASK_PRIMARY } else { ASK_REPLICA };
-        let limit = now.saturating_sub(age.as_micros() as Micros);
+        let limit = now.saturating_sub(micros(age));
         if it.status().is_none_or(|it| it.0 < limit) {
             it.ask_after(limit);
         }
@@ -169,7 +169,7 @@
 
 /// Undoes what a change that didn't end has left: stopped replicas, and primaries of earlier terms.
 fn tidy(inst: &Rc<Instance>, group: &Rc<Group>, now: Micros) {
-    let limit = now.saturating_sub(ASK_REPLICA.as_micros() as Micros);
+    let limit = now.saturating_sub(micros(ASK_REPLICA));
     for it in group.servers() {
         let order = match it.status() {
             Some((at, status)) if at >= limit => match status {
@@ -287,9 +287,7 @@
     /// Whether a replica that can't be stopped can't speak for the old primary either.
     fn is_out(&self, it: &Upstream) -> bool {
         let now = self.inst.now();
-        let long = |since: Option<Micros>| {
-            since.is_some_and(|at| now.saturating_sub(at) >= GIVEN_UP.as_micros() as Micros)
-        };
+        let long = |since: Option<Micros>| since.is_some_and(|at| now.saturating_sub(at) >= micros(GIVEN_UP));
         it.refused().is_some() || long(it.silent())
     }
 
