--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -72,6 +72,33 @@
     usable / n + extra
 }
 
+/// Connections that a home has to a server where not every instance can be one: enough that a transaction
+/// which rests doesn't hold others up.
+const HOME_CONNS: usize = 8;
+/// The fewest connections with which an instance is its own home.
+const OWN_CONNS: usize = 2;
+
+/// How many homes a server with room for `limit` connections has among `instances`: all of them where
+/// that leaves each enough, few otherwise.
+pub fn spread(limit: usize, instances: usize) -> usize {
+    match limit / instances.max(1) {
+        each if each >= OWN_CONNS => instances.max(1),
+        _ => (limit / HOME_CONNS).clamp(1, instances.max(1)),
+    }
+}
+
+/// Instances in the order in which they are homes of a subject: those of its zone first, then by weight.
+pub fn rank<'a>(
+    subject: &str,
+    zone: &str,
+    instances: impl Iterator<Item = (&'a Name, &'a Name)>,
+) -> Vec<Name> {
+    let weighed = instances.map(|(name, at)| (at != zone, std::cmp::Reverse(weight(subject, name)), name));
+    let mut out: Vec<_> = weighed.collect();
+    out.sort_unstable();
+    out.into_iter().map(|it| it.2.clone()).collect()
+}
+
 /// The few instances that hold the platform's watches: one in each availability zone.
 pub fn watchers(members: &[MemberView]) -> Vec<Name> {
     let mut zones: Vec<&Name> = members.iter().map(|it| &it.zone).collect();
--- /dev/null
+++ b/crates/engine/src/channel.rs
@@ -0,0 +1,253 @@
+//! A way to a server for one statement or one transaction: a connection of this instance, or another
+//! instance that runs it.
+
+use {
+    crate::{
+        conn::Values,
+        instance::Instance,
+        model::{Answer, Order, TxnState},
+        peer::{Ask, Link, Run, Sent, Told},
+        pool::Lease,
+        ports::{Forward, Text},
+        session::Prepared,
+        settings::PREPARED_MOST,
+    },
+    bytes::BytesMut,
+    pondtrack_proto::{Mark, Name},
+    snafu::Snafu,
+    std::rc::Rc,
+    tokio::time::{Instant, timeout_at},
+};
+
+/// What is sent, and the state of the session it is for.
+#[derive(Clone, Copy)]
+pub struct Sending<'a> {
+    /// The session's values; none where they don't matter.
+    pub values: Option<&'a Values>,
+    /// The named statement that it runs.
+    pub named: Option<&'a Prepared>,
+    /// What is sent.
+    pub what: What<'a>,
+    /// When nobody waits any longer.
+    pub end: Instant,
+}
+
+/// What is sent to a server.
+#[derive(Clone, Copy)]
+pub enum What<'a> {
+    /// A caller's statement.
+    Forward(Forward<'a>),
+    /// An order, and the position that the server's log has to hold.
+    Order(&'a Order, Option<Mark>),
+}
+
+/// Why there is no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum RunError {
+    /// Nothing was sent.
+    #[snafu(display("not sent: {reason}"))]
+    NotSent {
+        /// Why.
+        reason: String,
+    },
+    /// Nothing was sent: no connection was free.
+    #[snafu(display("no connection is free"))]
+    Busy,
+    /// There is no answer in time; it may have run.
+    #[snafu(display("no answer in time"))]
+    Late,
+    /// It may have run.
+    #[snafu(display("sent, and not answered: {reason}"))]
+    Broken {
+        /// Why.
+        reason: String,
+    },
+}
+
+impl From<RunError> for Told {
+    fn from(it: RunError) -> Told {
+        match it {
+            RunError::NotSent { reason } => Told::NotSent(reason),
+            RunError::Busy => Told::Busy,
+            RunError::Late => Told::Broken(it.to_string()),
+            RunError::Broken { reason } => Told::Broken(reason),
+        }
+    }
+}
+
+/// A way to a server. Dropped, an open transaction on it is rolled back.
+pub enum Channel {
+    /// A connection of this instance.
+    Direct(Lease),
+    /// Another instance's.
+    Relayed(Relayed),
+}
+
+/// A stream at another instance.
+pub struct Relayed {
+    peer: Name,
+    link: Rc<Link>,
+    stream: u64,
+    server: Name,
+    priority: u8,
+    /// When a statement that waits there for a connection is to be given up.
+    until: Instant,
+    pinned: bool,
+}
+
+impl Relayed {
+    /// A stream over a link; nothing is sent yet.
+    pub fn new(peer: Name, link: Rc<Link>, server: Name, priority: u8, until: Instant) -> Relayed {
+        let stream = link.stream();
+        Relayed { peer, link, stream, server, priority, until, pinned: false }
+    }
+
+    async fn run(&mut self, it: Sending<'_>) -> Result<Answer, RunError> {
+        let left = |until: Instant| until.saturating_duration_since(Instant::now()).as_millis() as u32;
+        let what = match it.what {
+            What::Forward(Forward { id, text, after }) => {
+                let text = match text {
+                    Text::Plain(text) | Text::Execute { args: text, .. } => text.clone(),
+                };
+                Sent::Statement { id: id.clone(), text, after }
+            }
+            What::Order(order, after) => Sent::Order { order: order.clone(), after },
+        };
+        let run = Run {
+            stream: self.stream,
+            pinned: self.pinned,
+            server: self.server.clone(),
+            priority: self.priority,
+            wait_ms: left(self.until),
+            left_ms: left(it.end),
+            values: it.values.map(|it| it.to_vec()).unwrap_or_default(),
+            named: it.named.cloned(),
+            what,
+        };
+        match self.link.ask(Ask::Run(Box::new(run))).await {
+            Told::Answer(answer) => {
+                self.pinned = answer.txn != TxnState::Idle;
+                Ok(answer)
+            }
+            Told::NotSent(reason) => Err(RunError::NotSent { reason }),
+            Told::Busy => Err(RunError::Busy),
+            Told::Broken(reason) => Err(RunError::Broken { reason }),
+            Told::Status(_) => Err(RunError::Broken { reason: "another answer than asked for".to_owned() }),
+        }
+    }
+}
+
+impl Drop for Relayed {
+    fn drop(&mut self) {
+        if self.pinned {
+            self.link.drop_stream(self.stream);
+        }
+    }
+}
+
+impl Channel {
+    /// Sends and waits for the answer.
+    pub async fn run(&mut self, inst: &Instance, it: Sending<'_>) -> Result<Answer, RunError> {
+        let end = it.end;
+        let work = async {
+            match self {
+                Channel::Direct(lease) => run_direct(inst, lease, it).await,
+                Channel::Relayed(relayed) => relayed.run(it).await,
+            }
+        };
+        timeout_at(end, work).await.unwrap_or(Err(RunError::Late))
+    }
+
+    /// The instance that it goes through, if it does.
+    pub fn via(&self) -> Option<&Name> {
+        match self {
+            Channel::Direct(_) => None,
+            Channel::Relayed(it) => Some(&it.peer),
+        }
+    }
+
+    /// Gives the connection back for others; nothing may be open on it.
+    pub fn give_back(self) {
+        match self {
+            Channel::Direct(lease) => lease.give_back(),
+            Channel::Relayed(_) => {}
+        }
+    }
+
+    /// Forgets what was prepared: the server doesn't know it any longer.
+    pub fn forget_prepared(&mut self) {
+        if let Channel::Direct(lease) = self
+            && let Some(conn) = lease.conn()
+        {
+            conn.prepared.clear();
+        }
+    }
+}
+
+async fn run_direct(inst: &Instance, lease: &mut Lease, it: Sending<'_>) -> Result<Answer, RunError> {
+    if let Some(values) = it.values
+        && !align(inst, lease, values, it.named).await
+    {
+        return Err(RunError::NotSent { reason: "the connection is of no use".to_owned() });
+    }
+    let dialect = inst.edge.dialect.as_ref();
+    let mut out = BytesMut::new();
+    match it.what {
+        What::Forward(forward) => dialect.forward(forward, &mut out),
+        What::Order(order, after) => dialect.order(order, after, &mut out),
+    }
+    let broken = |reason: &dyn ToString| RunError::Broken { reason: reason.to_string() };
+    let conn = lease.conn().ok_or_else(|| broken(&"the connection was given back"))?;
+    conn.send(&out).await.map_err(|e| broken(&e))?;
+    conn.next(dialect).await.map_err(|e| broken(&e))
+}
+
+/// Brings a connection into a session's state. False when that failed and the connection is of no use.
+async fn align(inst: &Instance, lease: &mut Lease, values: &Values, named: Option<&Prepared>) -> bool {
+    let Some(conn) = lease.conn() else { return false };
+    let known = conn.values.as_ref();
+    // Values can only be taken away all at once.
+    let extra = |old: &Values| old.iter().any(|it| values.binary_search_by(|new| new.0.cmp(&it.0)).is_err());
+    let full = conn.prepared.len() >= PREPARED_MOST && conn.txn == TxnState::Idle;
+    let reset = full || known.is_none_or(extra);
+    let has = |it: &(Name, Name)| !reset && known.is_some_and(|old| old.binary_search(it).is_ok());
+    let mut orders = Vec::new();
+    if reset {
+        orders.push(Order::Reset);
+    }
+    for it in values.iter().filter(|it| !has(it)) {
+        orders.push(Order::Set { name: it.0.clone(), value: it.1.clone() });
+    }
+    let prepare = named.filter(|it| reset || conn.prepared.binary_search(&it.alias).is_err());
+    if let Some(it) = prepare {
+        let name = it.alias.clone();
+        orders.push(Order::Prepare { name, access: it.access, shape: it.shape.clone() });
+    }
+    if orders.is_empty() {
+        return true;
+    }
+    let mut out = BytesMut::new();
+    for it in &orders {
+        inst.edge.dialect.order(it, None, &mut out);
+    }
+    // Until all are answered its state isn't known.
+    conn.values = None;
+    if reset {
+        conn.prepared.clear();
+    }
+    if conn.send(&out).await.is_err() {
+        return false;
+    }
+    for _ in &orders {
+        match conn.next(inst.edge.dialect.as_ref()).await {
+            Ok(it) if it.is_done() => {}
+            Ok(_) | Err(_) => return false,
+        }
+    }
+    conn.values = Some(values.clone());
+    if let Some(it) = prepare {
+        let at = conn.prepared.binary_search(&it.alias).unwrap_or_else(|at| at);
+        conn.prepared.insert(at, it.alias.clone());
+    }
+    true
+}
--- a/crates/engine/src/conn.rs
+++ b/crates/engine/src/conn.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        model::{Answer, Code, Order, Server},
+        model::{Answer, Code, Order, Server, TxnState},
         ports::{Dialect, WireError},
         settings::OPEN_LIMIT,
     },
@@ -93,6 +93,8 @@
     pub values: Option<Values>,
     /// The names of statements prepared on it, sorted.
     pub prepared: Vec<Name>,
+    /// Its transaction state after the last answer.
+    pub txn: TxnState,
 }
 
 impl Conn {
@@ -107,7 +109,14 @@
         let stream = TcpStream::connect(SocketAddr::V4(peer)).await.context(ConnectSnafu { peer })?;
         stream.set_nodelay(true).context(ConnectSnafu { peer })?;
         let buf = BytesMut::with_capacity(BUFFER);
-        let mut it = Conn { peer, stream, buf, values: Some(Values::default()), prepared: Vec::new() };
+        let mut it = Conn {
+            peer,
+            stream,
+            buf,
+            values: Some(Values::default()),
+            prepared: Vec::new(),
+            txn: TxnState::Idle,
+        };
         let mut out = BytesMut::new();
         dialect.open(&server.group, &server.id, &mut out);
         it.send(&out).await?;
@@ -140,6 +149,7 @@
         loop {
             let answer = dialect.answer(&mut self.buf).context(WireSnafu { peer: self.peer })?;
             if let Some(it) = answer {
+                self.txn = it.txn;
                 return Ok(it);
             }
             self.receive().await?;
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -4,6 +4,7 @@
     crate::{
         count::Count,
         instance::{Instance, Micros, micros},
+        peer::Peer,
         ports::{Collection, InstanceRecord, Object, Objects, Record, StoreError},
         settings::GONE_AFTER,
     },
@@ -127,7 +128,7 @@
         let record = InstanceRecord {
             beat: inst.now(),
             zone: inst.settings.zone.clone(),
-            addr: Name::from(inst.settings.listen.to_string()),
+            addr: inst.settings.peer_addr,
         };
         inst.counters.one(Count::StoreCalls);
         let put = inst
@@ -147,24 +148,34 @@
         }
         inst.counters.one(Count::StoreCalls);
         match inst.edge.store.list(Collection::Instances, true).await {
-            Ok(it) => inst.set_instances(count(&mut known, &it.items, beat)),
+            Ok(it) => inst.set_peers(live(&mut known, &it.items, beat)),
             Err(e) => log::debug!("instances: {e}"),
         }
         sleep(HEARTBEAT + Duration::from_millis(inst.random(500))).await;
     }
 }
 
-/// Counts the entries that changed lately; `known` holds names, revisions and when they were new.
-fn count(known: &mut Vec<(Name, u64, u64)>, items: &[Object], beat: u64) -> usize {
+/// The instances whose entries changed lately; `known` holds names, revisions and when they were new.
+fn live(known: &mut Vec<(Name, u64, u64)>, items: &[Object], beat: u64) -> Vec<Peer> {
     known.retain(|it| items.iter().any(|item| item.name == it.0));
+    let mut peers = Vec::new();
     for item in items {
-        match known.binary_search_by(|it| it.0.cmp(&item.name)) {
-            Ok(at) if known[at].1 != item.revision => known[at] = (item.name.clone(), item.revision, beat),
-            Ok(_) => {}
-            Err(at) => known.insert(at, (item.name.clone(), item.revision, beat)),
+        let at = known.binary_search_by(|it| it.0.cmp(&item.name)).unwrap_or_else(|at| {
+            known.insert(at, (item.name.clone(), 0, beat));
+            at
+        });
+        if known[at].1 != item.revision {
+            known[at] = (item.name.clone(), item.revision, beat);
+        }
+        match &item.record {
+            Some(Record::Instance(it)) if beat - known[at].2 < MISSED => {
+                peers.push(Peer::new(item.name.clone(), it.zone.clone(), it.addr));
+            }
+            _ => {}
         }
     }
-    known.iter().filter(|it| beat - it.2 < MISSED).count()
+    peers.sort_by(|a, b| a.name.cmp(&b.name));
+    peers
 }
 
 /// Removes this instance's entry.
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -6,13 +6,15 @@
 
 use {
     crate::{
+        channel::{Relayed, RunError},
         count::Count,
         instance::{Instance, Micros, micros},
         model::{Order, Role, Server, Status},
+        peer::{Ask, Peer, Told},
         pool::{Denied, Pool, Want},
         settings::{
             ASK_OTHERS, ASK_WAIT, DRAIN_USE, EVIDENCE_AGE, GATE_PAUSE, GATE_PAUSE_MOST, LAG_FACTOR,
-            ORDER_LIMIT, PRIMARY_PAUSE, UNREACHABLE_PAUSE,
+            ORDER_LIMIT, PRIMARY_PAUSE, PROBE_PAUSE, RELAY_AFTER, RELAYS, UNFIT_PAUSE, UNREACHABLE_PAUSE,
         },
     },
     pondtrack_core::{
@@ -49,6 +51,16 @@
     silent: Cell<Option<Micros>>,
     refused: Cell<Option<Micros>>,
     avoid: Cell<Micros>,
+    /// Whether this instance has a share of its connections.
+    home: Cell<bool>,
+    /// Other instances to go through, the first one first.
+    ranked: RefCell<Vec<Name>>,
+    /// Whether it is reached over connections of this instance.
+    direct: Cell<bool>,
+    /// When that was last tried.
+    probed: Cell<Micros>,
+    /// Instances that couldn't reach it, and until when they are passed over.
+    unfit: RefCell<Vec<(Name, Micros)>>,
     /// Since when it says that it leaves.
     draining: Cell<Option<Micros>>,
     missing: Cell<Option<Micros>>,
@@ -116,13 +128,90 @@
         }
     }
 
-    /// It can't be reached.
-    pub fn unreachable(&self, now: Micros, refused: bool) {
-        if refused && self.refused.get().is_none() {
-            self.refused.set(Some(now));
+    /// It can't be reached over a connection of this instance.
+    pub fn failed(&self, now: Micros, refused: bool) {
+        if refused {
+            // Nobody listens there, for others neither.
+            self.refused.set(self.refused.get().or(Some(now)));
+            self.avoid.set(now + micros(UNREACHABLE_PAUSE));
+        } else if self.direct.replace(false) {
+            log::info!(server = self.entry().id.as_str(); "not reached");
+            self.pool.trim(Instant::now(), true);
         }
         self.unanswered(now);
-        self.avoid.set(now + micros(UNREACHABLE_PAUSE));
+        self.ask();
+    }
+
+    /// A statement sent at `sent` has no answer.
+    pub fn missed(&self, e: &RunError, via: Option<&Name>, sent: Micros, now: Micros) {
+        match (e, via) {
+            (RunError::Busy, _) => self.busy(now, UNREACHABLE_PAUSE / 10),
+            (RunError::NotSent { .. } | RunError::Broken { .. }, Some(peer)) => self.unfit(peer, now),
+            (RunError::NotSent { .. }, None) => self.ask(),
+            (RunError::Broken { .. } | RunError::Late, _) => {
+                self.unanswered(sent);
+                self.ask();
+            }
+        }
+    }
+
+    /// Whether this instance has a share of its connections, and reaches it.
+    pub fn is_reachable(&self) -> bool {
+        self.home.get() && self.direct.get()
+    }
+
+    /// Sets who has a share of its connections, in the order in which they are asked.
+    pub fn place(&self, home: bool, ranked: Vec<Name>) {
+        self.home.set(home);
+        *self.ranked.borrow_mut() = ranked;
+    }
+
+    /// Another instance to go through.
+    fn fit_peer(&self, inst: &Instance) -> Option<Rc<Peer>> {
+        let now = inst.now();
+        let unfit = self.unfit.borrow();
+        let is_unfit = |name: &Name| unfit.iter().any(|it| it.0 == *name && it.1 > now);
+        let ranked = self.ranked.borrow();
+        let peers = ranked.iter().filter(|it| !is_unfit(it)).filter_map(|it| inst.peer(it));
+        peers.filter(|it| it.is_usable(now)).next()
+    }
+
+    /// Another instance couldn't reach it.
+    pub fn unfit(&self, peer: &Name, now: Micros) {
+        let mut unfit = self.unfit.borrow_mut();
+        unfit.retain(|it| it.1 > now && it.0 != *peer);
+        unfit.push((peer.clone(), now + micros(UNFIT_PAUSE)));
+    }
+
+    /// A way through another instance.
+    pub async fn relay(&self, inst: &Rc<Instance>, priority: u8, until: Instant) -> Option<Relayed> {
+        for _ in 0..RELAYS {
+            let peer = self.fit_peer(inst)?;
+            if let Some(link) = peer.link(inst).await {
+                let server = self.entry().id.clone();
+                return Some(Relayed::new(peer.name.clone(), link, server, priority, until));
+            }
+        }
+        None
+    }
+
+    /// Tries, now and then, whether a server that others reach can be reached again.
+    fn probe(&self, inst: &Rc<Instance>, group: &Group) {
+        let now = inst.now();
+        if !self.home.get() || now < self.probed.get() + micros(PROBE_PAUSE) {
+            return;
+        }
+        self.probed.set(now);
+        let (inst, index, group) = (inst.clone(), self.index, group.name.clone());
+        tokio::task::spawn_local(async move {
+            let Some(group) = inst.group(&group) else { return };
+            let known = group.servers().into_iter().find(|it| it.index == index);
+            if let Some(it) = known
+                && give_direct(&inst, &group, &it, &Order::Status).await.is_some()
+            {
+                log::info!(server = it.entry().id.as_str(); "reached again");
+            }
+        });
     }
 
     /// It has too much to do: others are preferred for a moment.
@@ -267,6 +356,11 @@
             silent: Cell::default(),
             refused: Cell::default(),
             avoid: Cell::default(),
+            home: Cell::new(true),
+            ranked: RefCell::default(),
+            direct: Cell::new(true),
+            probed: Cell::default(),
+            unfit: RefCell::default(),
             draining: Cell::new(draining),
             missing: Cell::default(),
             gone: Cell::default(),
@@ -539,18 +633,62 @@
     }
 }
 
-/// Gives a server an order that it answers with its account of itself.
-pub async fn give(inst: &Instance, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
+/// Gives a server an order that it answers with its account of itself: over a connection of this instance,
+/// through another instance, or both.
+pub async fn give(inst: &Rc<Instance>, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
+    if !it.is_reachable() {
+        it.probe(inst, group);
+        return give_through(inst, group, it, order).await;
+    }
+    let direct = give_direct(inst, group, it, order);
+    tokio::pin!(direct);
+    if let Ok(answer) = timeout(RELAY_AFTER, &mut direct).await {
+        return match answer {
+            Some(it) => Some(it),
+            None if it.refused().is_some() => None,
+            None => give_through(inst, group, it, order).await,
+        };
+    }
+    tokio::select! {
+        biased;
+        Some(status) = &mut direct => Some(status),
+        Some(status) = give_through(inst, group, it, order) => {
+            log::info!(server = it.entry().id.as_str(); "reached through other instances only");
+            it.direct.set(false);
+            Some(status)
+        }
+        else => None,
+    }
+}
+
+/// The same through another instance.
+async fn give_through(inst: &Rc<Instance>, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
+    for _ in 0..RELAYS {
+        let peer = it.fit_peer(inst)?;
+        let sent = inst.now();
+        it.asked.set(sent);
+        let ask = Ask::Order { server: it.entry().id.clone(), order: order.clone() };
+        match timeout(ORDER_LIMIT, peer.ask(inst, ask)).await {
+            Ok(Told::Status(Some(status))) => {
+                group.saw(it, status, sent, inst.now());
+                return Some(status);
+            }
+            _ => it.unfit(&peer.name, inst.now()),
+        }
+    }
+    None
+}
+
+/// The same over a connection of this instance.
+pub async fn give_direct(inst: &Instance, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
     let want = Want { priority: 0, until: Instant::now() + ASK_WAIT, values: None };
     let server = it.entry();
-    let began = inst.now();
     let mut lease = match it.pool.lend(inst, &server, want).await {
         Ok(lease) => lease,
         Err(Denied::Busy) => return None,
         Err(Denied::Unreachable(e)) => {
             log::debug!(server = server.id.as_str(); "{e}");
-            it.unanswered(began);
-            it.unreachable(inst.now(), e.is_refusal());
+            it.failed(inst.now(), e.is_refusal());
             return None;
         }
     };
@@ -566,11 +704,12 @@
             return None;
         }
         Err(_) => {
-            it.unanswered(sent);
+            it.failed(sent, false);
             return None;
         }
     };
     lease.give_back();
+    it.direct.set(true);
     it.answered(inst.now());
     let status = dialect.status(&answer)?;
     group.saw(it, status, sent, inst.now());
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -3,12 +3,15 @@
 use {
     crate::{
         count::{Count, Counters},
-        group::Group,
+        group::{Group, Upstream},
         lease::Tenure,
         model::{Desired, Server},
+        peer::Peer,
         ports::Edge,
         settings::{SPARE_TENTH, Settings},
     },
+    pondtrack_core::place,
+    pondtrack_proto::Name,
     rand::{RngExt, SeedableRng},
     rand_pcg::Pcg64Mcg,
     std::{
@@ -32,6 +35,10 @@
 /// The span, in microseconds.
 const LINES_SPAN: Micros = 1_000_000;
 
+fn same(a: &[Rc<Peer>], b: &[Rc<Peer>]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).all(|(a, b)| a.name == b.name && a.zone == b.zone)
+}
+
 /// The state of an instance.
 pub struct Instance {
     /// The settings.
@@ -46,8 +53,8 @@
     pub sessions: Cell<usize>,
     desired: RefCell<Option<Rc<Desired>>>,
     groups: RefCell<Vec<Rc<Group>>>,
-    /// Live instances, this one included.
-    instances: Cell<usize>,
+    /// Other live instances, sorted by name; none until they were counted.
+    peers: RefCell<Option<Vec<Rc<Peer>>>>,
     /// Whether the directory of servers was read.
     listed: Cell<bool>,
     leaving: Cell<Option<Instant>>,
@@ -69,7 +76,7 @@
             sessions: Cell::default(),
             desired: RefCell::default(),
             groups: RefCell::default(),
-            instances: Cell::new(1),
+            peers: RefCell::default(),
             listed: Cell::default(),
             leaving: Cell::default(),
             start: Instant::now(),
@@ -156,27 +163,70 @@
         self.listed.set(true);
     }
 
-    /// Sets how many instances share the servers' connections.
-    pub fn set_instances(&self, n: usize) {
-        if self.instances.replace(n.max(1)) != n.max(1) {
-            log::info!(instances = n; "instances counted");
+    /// Another instance.
+    pub fn peer(&self, name: &Name) -> Option<Rc<Peer>> {
+        let peers = self.peers.borrow();
+        let peers = peers.as_ref()?;
+        let at = peers.binary_search_by(|it| it.name.cmp(name)).ok()?;
+        Some(peers[at].clone())
+    }
+
+    /// Takes in which other instances are up, sorted by name.
+    pub fn set_peers(&self, mut peers: Vec<Peer>) {
+        peers.retain(|it| it.name != self.settings.name);
+        let keep = |it: Peer| match self.peer(&it.name) {
+            Some(old) if old.addr == it.addr && old.zone == it.zone => old,
+            _ => Rc::new(it),
+        };
+        let peers: Vec<Rc<Peer>> = peers.into_iter().map(keep).collect();
+        let old = self.peers.replace(Some(peers.clone()));
+        if old.as_ref().map(Vec::len) != Some(peers.len()) {
+            log::info!(others = peers.len(); "instances counted");
+        }
+        if old.is_none_or(|old| !same(&old, &peers)) {
             self.share_out();
         }
     }
 
-    /// Works the shares of connections out.
+    /// Works out who has a share of each server's connections.
     fn share_out(&self) {
         let Some(desired) = self.desired() else { return };
+        let peers = self.peers.borrow().clone();
         for group in self.groups() {
             let spec = desired.groups.iter().find(|it| it.name == group.name);
-            let conns = spec.map_or(0, |it| it.conns);
-            let share = (conns - conns * SPARE_TENTH / 10) / self.instances.get();
+            let conns = spec.map_or(0, |it| it.conns - it.conns * SPARE_TENTH / 10);
             for it in group.servers() {
-                it.pool.set_share(share.max(1));
+                match &peers {
+                    Some(peers) => self.share(&it, conns, peers),
+                    // Until the others are known, as little as possible.
+                    None => it.pool.set_share(1),
+                }
             }
         }
     }
 
+    fn share(&self, up: &Upstream, conns: usize, peers: &[Rc<Peer>]) {
+        let entry = up.entry();
+        let me = (&self.settings.name, &self.settings.zone);
+        let all = peers.iter().map(|it| (&it.name, &it.zone)).chain([me]);
+        let n = place::spread(conns, peers.len() + 1);
+        if n > peers.len() {
+            // Each its own home; others are only gone through in need, each by another.
+            let subject = format!("{} {}", entry.id, self.settings.name);
+            let mut ranked = place::rank(&subject, &entry.zone, all);
+            ranked.retain(|it| *it != self.settings.name);
+            up.pool.set_share(conns / n);
+            return up.place(true, ranked);
+        }
+        let mut ranked = place::rank(&entry.id, &entry.zone, all);
+        let mine = ranked.iter().position(|it| *it == self.settings.name).is_some_and(|at| at < n);
+        up.pool.set_share(if mine { conns / n } else { 0 });
+        // Homes share the work of those that are none.
+        ranked[..n].rotate_left(place::weight(&entry.id, &self.settings.name) as usize % n);
+        ranked.retain(|it| *it != self.settings.name);
+        up.place(mine, ranked);
+    }
+
     /// Whether new sessions are wanted here.
     pub fn is_ready(&self) -> bool {
         self.leaving.get().is_none() && self.listed.get() && self.desired.borrow().is_some()
--- a/crates/engine/src/lease.rs
+++ b/crates/engine/src/lease.rs
@@ -13,21 +13,23 @@
     },
     pondtrack_proto::Name,
     std::{cell::Cell, rc::Rc, time::Duration},
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// The record's name.
 const NAME: &str = "failover";
-/// How long the holder acts after it sent a renewal. Long enough to outlast most outages of the store
-/// (4 to 6 seconds), short enough that a lost holder doesn't hold a failover up for long.
-pub const HOLD: Duration = Duration::from_millis(5_000);
+/// How long the holder acts after it sent a renewal. Short, so that a holder that is cut off is replaced
+/// within seconds; a store that is slow answers within 400 ms.
+pub const HOLD: Duration = Duration::from_millis(1_500);
 /// How long a record has to stand unchanged before another instance takes it: the holder's time, the time
-/// an order may be under way, and some room for clocks that run apart.
-pub const TAKE_AFTER: Duration = Duration::from_millis(6_000);
+/// an order may be under way (500 ms), and some room for clocks that run apart.
+pub const TAKE_AFTER: Duration = Duration::from_millis(2_400);
 /// Between two renewals.
-const RENEW: Duration = Duration::from_millis(1_200);
+const RENEW: Duration = Duration::from_millis(400);
+/// The longest wait for a renewal's answer; a lost one is found out by the next.
+const RENEW_LIMIT: Duration = Duration::from_millis(500);
 /// Between two looks of the others, which read at a tenth of the price.
-const LOOK: Duration = Duration::from_millis(1_000);
+const LOOK: Duration = Duration::from_millis(600);
 /// After its start, a process that finds its own name in the record waits for so long: an order of the
 /// process before it may be under way.
 const OWN_AFTER: Duration = Duration::from_millis(800);
@@ -159,9 +161,9 @@
         }
         self.inst.counters.one(Count::StoreCalls);
         let name = Name::from(NAME);
-        let put =
-            self.inst.edge.store.put(Collection::Leases, name, Record::Lease(record.clone()), revision).await;
-        match put {
+        let put = self.inst.edge.store.put(Collection::Leases, name, Record::Lease(record.clone()), revision);
+        let late = || StoreError::Unanswered { step: "renew", reason: "no answer in time".to_owned() };
+        match timeout(RENEW_LIMIT, put).await.unwrap_or_else(|_| Err(late())) {
             Ok(revision) => {
                 self.seen = Some(Seen { record, revision, since: self.inst.now() });
                 self.hold(token, sent);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,10 +13,13 @@
 //! | [`feed`] | the configuration and the directory, kept up to date |
 //! | [`group`] | a group's servers and the evidence about them |
 //! | [`conn`], [`pool`] | connections to servers |
+//! | [`channel`] | a way to a server: a connection, or another instance |
+//! | [`peer`], [`relay`] | links between instances, and statements run for others |
 //! | [`session`], [`statement`], [`txn`] | callers |
 //! | [`lease`], [`takeover`] | the right to give orders, and changes of primary |
 //! | [`count`] | counters and histograms |
 
+pub mod channel;
 pub mod conn;
 pub mod count;
 pub mod feed;
@@ -24,8 +27,10 @@
 pub mod instance;
 pub mod lease;
 pub mod model;
+pub mod peer;
 pub mod pool;
 pub mod ports;
+pub mod relay;
 pub mod session;
 pub mod settings;
 pub mod statement;
--- a/crates/engine/src/model.rs
+++ b/crates/engine/src/model.rs
@@ -3,12 +3,15 @@
 use {
     bytes::Bytes,
     pondtrack_proto::{Mark, Name, Term},
+    serde::{Deserialize, Serialize},
     std::{net::SocketAddrV4, time::Duration},
     strum::{Display, IntoStaticStr},
 };
 
 /// Whether a statement may change data.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, IntoStaticStr)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, IntoStaticStr, Serialize, Deserialize,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Access {
     /// It reads only.
@@ -90,7 +93,7 @@
 }
 
 /// Whether a session or connection is inside a transaction.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, IntoStaticStr, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum TxnState {
     /// In none.
@@ -103,7 +106,7 @@
 }
 
 /// Why a statement has no result.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum Code {
     /// Too much to do: not run.
@@ -152,7 +155,7 @@
 }
 
 /// How a statement ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
     /// With success; the server's proof of it, or nothing for statements answered here.
     Done(Option<Bytes>),
@@ -166,7 +169,7 @@
 }
 
 /// A whole answer to one statement.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
     /// The rows, each as the server sent it.
     pub rows: Vec<Bytes>,
@@ -204,7 +207,7 @@
 }
 
 /// How a server sees itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum Role {
     /// It takes writes.
@@ -214,7 +217,7 @@
 }
 
 /// A server's account of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
     /// Its role.
     pub role: Role,
@@ -233,7 +236,7 @@
 }
 
 /// What is asked of a server on pondtrack's own account.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
     /// For its account of itself.
     Status,
--- /dev/null
+++ b/crates/engine/src/peer.rs
@@ -0,0 +1,352 @@
+//! Messages between instances, and the links that carry them.
+//!
+//! An instance that can't reach a server itself, or has no share of its connections, has another one run
+//! its statements there. A link carries a length and the message in `postcard`; answers are matched to
+//! questions by an id.
+
+use {
+    crate::{
+        instance::{Instance, Micros, micros},
+        model::{Answer, Order, Status},
+        session::Prepared,
+    },
+    bytes::{Bytes, BytesMut},
+    futures::StreamExt,
+    pondtrack_proto::{Mark, Name},
+    serde::{Deserialize, Serialize},
+    std::{
+        cell::{Cell, RefCell},
+        io,
+        net::{SocketAddr, SocketAddrV4},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        io::AsyncWriteExt,
+        net::{
+            TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
+        sync::{Mutex, mpsc, oneshot},
+        time::{sleep, timeout},
+    },
+    tokio_util::codec::{FramedRead, LengthDelimitedCodec},
+};
+
+/// Largest message on a link, in bytes: a caller's largest message or answer, and what goes with it.
+const MESSAGE_BYTES: usize = 2 << 20;
+/// Time to open a link: a crossing of zones takes under 3 ms, a lost first packet a second.
+const OPEN_LIMIT: Duration = Duration::from_millis(250);
+/// Between two looks at a link that owes answers.
+const LOOK: Duration = Duration::from_millis(150);
+/// A link that owes answers and is silent for this long is given up. Statements take up to 300 ms, but a
+/// ping is answered at once.
+const SILENCE: Duration = Duration::from_millis(500);
+/// A peer whose link failed, or that leaves, is passed over for this long.
+const AVOID: Duration = Duration::from_millis(1_000);
+
+/// A message between instances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Something is wanted.
+    Ask {
+        /// Matches the answer to it.
+        id: u64,
+        /// What is wanted.
+        ask: Ask,
+    },
+    /// The answer.
+    Told {
+        /// The question's id.
+        id: u64,
+        /// The answer.
+        told: Told,
+    },
+    /// A transaction was given up by its owner.
+    Drop {
+        /// The stream that it ran on.
+        stream: u64,
+    },
+    /// Is anybody there?
+    Ping,
+    /// The answer to a ping.
+    Pong,
+}
+
+/// What an instance wants of another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// To run a statement at a server.
+    Run(Box<Run>),
+    /// To give a server an order that it answers with its account of itself.
+    Order {
+        /// The server.
+        server: Name,
+        /// The order.
+        order: Order,
+    },
+}
+
+/// A statement that another instance runs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Run {
+    /// Tells the transactions of a link apart.
+    pub stream: u64,
+    /// Whether the stream's transaction is open already.
+    pub pinned: bool,
+    /// The server.
+    pub server: Name,
+    /// Rank among statements that wait for a connection.
+    pub priority: u8,
+    /// How long it may wait for a connection, in milliseconds.
+    pub wait_ms: u32,
+    /// How long it may take in all, in milliseconds.
+    pub left_ms: u32,
+    /// The session values that it needs.
+    pub values: Vec<(Name, Name)>,
+    /// The named statement that it runs.
+    pub named: Option<Prepared>,
+    /// What is sent.
+    pub what: Sent,
+}
+
+/// What is sent to a server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Sent {
+    /// A caller's statement.
+    Statement {
+        /// Its id.
+        id: Bytes,
+        /// Its text; the arguments alone if it runs a named statement.
+        text: Bytes,
+        /// The position that the server's log has to hold.
+        after: Option<Mark>,
+    },
+    /// An order of pondtrack's own.
+    Order {
+        /// The order.
+        order: Order,
+        /// The position that the server's log has to hold.
+        after: Option<Mark>,
+    },
+}
+
+/// What an instance answers another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Told {
+    /// The server's answer.
+    Answer(Answer),
+    /// Nothing was sent to the server.
+    NotSent(String),
+    /// Nothing was sent: no connection was free.
+    Busy,
+    /// It was sent, and what became of it is not known.
+    Broken(String),
+    /// The server's account of itself, if it gave one.
+    Status(Option<Status>),
+}
+
+/// Another instance.
+pub struct Peer {
+    /// Its name.
+    pub name: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where it answers.
+    pub addr: SocketAddrV4,
+    avoid: Cell<Micros>,
+    link: RefCell<Option<Rc<Link>>>,
+    opening: Mutex<()>,
+}
+
+impl Peer {
+    /// An instance that was not spoken to yet.
+    pub fn new(name: Name, zone: Name, addr: SocketAddrV4) -> Peer {
+        let (avoid, link) = (Cell::default(), RefCell::default());
+        Peer { name, zone, addr, avoid, link, opening: Mutex::default() }
+    }
+
+    /// Whether it may be asked now.
+    pub fn is_usable(&self, now: Micros) -> bool {
+        self.avoid.get() <= now
+    }
+
+    /// Passes it over for a while.
+    pub fn avoid(&self, now: Micros) {
+        self.avoid.set(now + micros(AVOID));
+    }
+
+    /// The link to it, opened if there is none.
+    pub async fn link(&self, inst: &Rc<Instance>) -> Option<Rc<Link>> {
+        let _opening = self.opening.lock().await;
+        let known = self.link.borrow().clone().filter(|it| it.is_open());
+        if known.is_some() {
+            return known;
+        }
+        let opened = timeout(OPEN_LIMIT, TcpStream::connect(SocketAddr::V4(self.addr))).await;
+        match opened.map_err(|_| io::Error::from(io::ErrorKind::TimedOut)).flatten() {
+            Ok(stream) => {
+                let it = Link::start(inst, stream);
+                *self.link.borrow_mut() = Some(it.clone());
+                Some(it)
+            }
+            Err(e) => {
+                log::debug!(peer = self.name.as_str(), step = "link"; "{e}");
+                self.avoid(inst.now());
+                None
+            }
+        }
+    }
+
+    /// Asks it for something.
+    pub async fn ask(&self, inst: &Rc<Instance>, ask: Ask) -> Told {
+        let Some(link) = self.link(inst).await else { return Told::NotSent("no link".to_owned()) };
+        link.ask(ask).await
+    }
+}
+
+/// A link to another instance, over which this one asks.
+pub struct Link {
+    out: mpsc::UnboundedSender<Message>,
+    pending: RefCell<Vec<(u64, oneshot::Sender<Told>)>>,
+    next: Cell<u64>,
+    heard: Cell<Micros>,
+    open: Cell<bool>,
+}
+
+impl Link {
+    fn start(inst: &Rc<Instance>, stream: TcpStream) -> Rc<Link> {
+        let (reader, out) = halves(stream);
+        let it = Rc::new(Link {
+            out,
+            pending: RefCell::default(),
+            next: Cell::new(1),
+            heard: Cell::new(inst.now()),
+            open: Cell::new(true),
+        });
+        tokio::task::spawn_local(it.clone().receive(inst.clone(), reader));
+        tokio::task::spawn_local(it.clone().watch(inst.clone()));
+        it
+    }
+
+    /// Whether it works, as far as is known.
+    pub fn is_open(&self) -> bool {
+        self.open.get()
+    }
+
+    /// A number that no other stream of this link has.
+    pub fn stream(&self) -> u64 {
+        self.next.replace(self.next.get() + 1)
+    }
+
+    /// Tells that a stream's transaction is given up.
+    pub fn drop_stream(&self, stream: u64) {
+        // On a closed link the other side has dropped it already.
+        self.out.send(Message::Drop { stream }).ok();
+    }
+
+    /// Asks for something.
+    pub async fn ask(&self, ask: Ask) -> Told {
+        let id = self.stream();
+        let (answer, got) = oneshot::channel();
+        if !self.open.get() || self.out.send(Message::Ask { id, ask }).is_err() {
+            return Told::NotSent("the link is closed".to_owned());
+        }
+        self.pending.borrow_mut().push((id, answer));
+        got.await.unwrap_or_else(|_| Told::Broken("the link broke".to_owned()))
+    }
+
+    async fn receive(self: Rc<Self>, inst: Rc<Instance>, mut reader: Reader) {
+        while let Some(Ok(bytes)) = reader.next().await {
+            self.heard.set(inst.now());
+            match decode(&bytes) {
+                Some(Message::Told { id, told }) => self.resolve(id, told),
+                Some(Message::Pong) => {}
+                Some(Message::Ask { .. } | Message::Drop { .. } | Message::Ping) | None => break,
+            }
+            if !self.open.get() {
+                break;
+            }
+        }
+        self.close();
+    }
+
+    fn resolve(&self, id: u64, told: Told) {
+        let mut pending = self.pending.borrow_mut();
+        if let Ok(at) = pending.binary_search_by_key(&id, |it| it.0) {
+            // Whoever asked may have stopped waiting.
+            pending.remove(at).1.send(told).ok();
+        }
+    }
+
+    /// Gives the link up when it owes answers and is silent.
+    async fn watch(self: Rc<Self>, inst: Rc<Instance>) {
+        let mut since = None;
+        while self.open.get() {
+            sleep(LOOK).await;
+            self.pending.borrow_mut().retain(|it| !it.1.is_closed());
+            if self.pending.borrow().is_empty() {
+                since = None;
+                continue;
+            }
+            let began = *since.get_or_insert(inst.now());
+            let silent = inst.now().saturating_sub(self.heard.get().max(began));
+            if silent >= micros(SILENCE) {
+                self.close();
+            } else if silent >= micros(LOOK) {
+                self.out.send(Message::Ping).ok();
+            }
+        }
+    }
+
+    fn close(&self) {
+        self.open.set(false);
+        self.pending.borrow_mut().clear();
+    }
+}
+
+/// The receiving half of a link.
+pub type Reader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+
+/// Parts a connection into a reader and a queue of messages to be written.
+pub fn halves(stream: TcpStream) -> (Reader, mpsc::UnboundedSender<Message>) {
+    // A link without it is slower, nothing worse.
+    stream.set_nodelay(true).ok();
+    let (read, write) = stream.into_split();
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MESSAGE_BYTES).new_codec();
+    let (out, queue) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(send(write, queue));
+    (FramedRead::new(read, codec), out)
+}
+
+/// Writes messages; those that come together go together.
+async fn send(mut write: OwnedWriteHalf, mut queue: mpsc::UnboundedReceiver<Message>) {
+    let mut out = BytesMut::new();
+    while let Some(first) = queue.recv().await {
+        put(&first, &mut out);
+        while let Ok(it) = queue.try_recv() {
+            put(&it, &mut out);
+        }
+        if write.write_all(&out).await.is_err() {
+            return;
+        }
+        out.clear();
+    }
+}
+
+fn put(message: &Message, out: &mut BytesMut) {
+    let bytes = postcard::to_stdvec(message).expect("messages are plain data, which always encodes");
+    out.extend_from_slice(&(bytes.len() as u32).to_be_bytes());
+    out.extend_from_slice(&bytes);
+}
+
+/// Decodes a message; none for bytes that are none, which ends the link.
+pub fn decode(bytes: &[u8]) -> Option<Message> {
+    match postcard::from_bytes(bytes) {
+        Ok(it) => Some(it),
+        Err(e) => {
+            log::warn!(step = "link"; "not a message: {e}");
+            None
+        }
+    }
+}
--- a/crates/engine/src/ports.rs
+++ b/crates/engine/src/ports.rs
@@ -10,7 +10,7 @@
     pondtrack_proto::{Mark, Name},
     serde::{Deserialize, Serialize},
     snafu::Snafu,
-    std::time::Duration,
+    std::{net::SocketAddrV4, time::Duration},
 };
 
 /// Bytes that are not a message of the wire.
@@ -101,7 +101,7 @@
     /// Its availability zone.
     pub zone: Name,
     /// Where it answers other instances.
-    pub addr: Name,
+    pub addr: SocketAddrV4,
 }
 
 /// Who may give orders.
--- /dev/null
+++ b/crates/engine/src/relay.rs
@@ -0,0 +1,173 @@
+//! Statements that this instance runs for others.
+
+use {
+    crate::{
+        channel::{Channel, Sending, What},
+        group::{Group, Upstream, give_direct},
+        instance::Instance,
+        model::{Order, TxnState},
+        peer::{Ask, Message, Run, Sent, Told, decode, halves},
+        pool::{Denied, Want},
+        ports::{Forward, Text},
+        settings::ASK_WAIT,
+    },
+    futures::StreamExt,
+    pondtrack_proto::Name,
+    std::{cell::RefCell, rc::Rc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::mpsc::UnboundedSender,
+        time::{Instant, sleep, timeout},
+    },
+};
+
+/// Pause after a link couldn't be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The transactions of one link, by stream.
+type Streams = Rc<RefCell<Vec<(u64, Channel)>>>;
+
+/// Accepts links of other instances until this instance ends.
+pub async fn accept(inst: Rc<Instance>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(inst.clone(), stream));
+            }
+            Err(e) => {
+                log::warn!(step = "accept link"; "{e}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(inst: Rc<Instance>, stream: TcpStream) {
+    let (mut reader, out) = halves(stream);
+    let streams = Streams::default();
+    while let Some(Ok(bytes)) = reader.next().await {
+        match decode(&bytes) {
+            Some(Message::Ask { id, ask }) => {
+                tokio::task::spawn_local(answer(inst.clone(), streams.clone(), out.clone(), id, ask));
+            }
+            Some(Message::Drop { stream }) => drop(take(&streams, stream)),
+            Some(Message::Ping) => {
+                out.send(Message::Pong).ok();
+            }
+            Some(Message::Told { .. } | Message::Pong) | None => break,
+        }
+    }
+    // Transactions of a link that is gone are rolled back as their connections close.
+    streams.borrow_mut().clear();
+}
+
+async fn answer(inst: Rc<Instance>, streams: Streams, out: UnboundedSender<Message>, id: u64, ask: Ask) {
+    let told = match ask {
+        Ask::Run(it) => run(&inst, &streams, &out, *it).await,
+        Ask::Order { server, order } => Told::Status(order_server(&inst, &server, &order).await),
+    };
+    // The link may have closed meanwhile; its other side knows.
+    out.send(Message::Told { id, told }).ok();
+}
+
+fn take(streams: &Streams, stream: u64) -> Option<Channel> {
+    let mut streams = streams.borrow_mut();
+    let at = streams.binary_search_by_key(&stream, |it| it.0).ok()?;
+    Some(streams.remove(at).1)
+}
+
+fn find(inst: &Instance, server: &Name) -> Option<(Rc<Group>, Rc<Upstream>)> {
+    inst.groups().into_iter().find_map(|group| {
+        let it = group.servers().into_iter().find(|it| it.entry().id == *server)?;
+        Some((group, it))
+    })
+}
+
+async fn run(inst: &Rc<Instance>, streams: &Streams, out: &UnboundedSender<Message>, it: Run) -> Told {
+    let now = Instant::now();
+    let end = now + Duration::from_millis(it.left_ms.into());
+    let Some((group, up)) = find(inst, &it.server) else { return Told::NotSent("unknown server".to_owned()) };
+    let mut channel = match (it.pinned, take(streams, it.stream)) {
+        (true, Some(it)) => it,
+        (true, None) => return Told::Broken("the transaction is gone".to_owned()),
+        (false, _) => {
+            if !up.is_reachable() {
+                return Told::NotSent("the server isn't reachable from here".to_owned());
+            }
+            let until = (now + Duration::from_millis(it.wait_ms.into())).min(end);
+            let want = Want { priority: it.priority, until, values: None };
+            match up.pool.lend(inst, &up.entry(), want).await {
+                Ok(lease) => Channel::Direct(lease),
+                Err(Denied::Busy) => return Told::Busy,
+                Err(Denied::Unreachable(e)) => {
+                    up.failed(inst.now(), e.is_refusal());
+                    return Told::NotSent(e.to_string());
+                }
+            }
+        }
+    };
+    let values = Rc::new(it.values);
+    let what = match &it.what {
+        Sent::Statement { id, text, after } => {
+            let text = match &it.named {
+                Some(named) => Text::Execute { name: &named.alias, args: text },
+                None => Text::Plain(text),
+            };
+            What::Forward(Forward { id, text, after: *after })
+        }
+        Sent::Order { order, after } => What::Order(order, *after),
+    };
+    let sent = inst.now();
+    let sending = Sending { values: Some(&values), named: it.named.as_ref(), what, end };
+    let answer = match channel.run(inst, sending).await {
+        Ok(it) => it,
+        Err(e) => {
+            up.unanswered(sent);
+            return e.into();
+        }
+    };
+    let took = inst.now();
+    up.answered(took);
+    if answer.is_done() {
+        up.took(took - sent, took);
+        if let Some(at) = answer.mark {
+            group.moved(&up, at, sent);
+        }
+    }
+    match answer.txn {
+        TxnState::Idle => channel.give_back(),
+        // A link that has closed meanwhile takes its transactions with it.
+        TxnState::Open | TxnState::Failed if !out.is_closed() => {
+            let mut streams = streams.borrow_mut();
+            let at = streams.partition_point(|old| old.0 < it.stream);
+            streams.insert(at, (it.stream, channel));
+        }
+        TxnState::Open | TxnState::Failed => {}
+    }
+    Told::Answer(answer)
+}
+
+async fn order_server(inst: &Rc<Instance>, server: &Name, order: &Order) -> Option<crate::model::Status> {
+    let (group, up) = find(inst, server)?;
+    if !up.is_reachable() {
+        return None;
+    }
+    if *order != Order::Status {
+        return give_direct(inst, &group, &up, order).await;
+    }
+    // Those who ask at the same time share one question.
+    let since = inst.now();
+    up.ask_after(since);
+    let end = Instant::now() + ASK_WAIT;
+    loop {
+        let changed = group.changed.notified();
+        match up.status() {
+            Some((sent, status)) if sent >= since => return Some(status),
+            _ if Instant::now() >= end => return None,
+            _ => {
+                // At its end the loop looks once more.
+                let _ = timeout(ASK_WAIT, changed).await;
+            }
+        }
+    }
+}
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -12,6 +12,7 @@
     },
     bytes::{Bytes, BytesMut},
     pondtrack_proto::{Mark, Name},
+    serde::{Deserialize, Serialize},
     std::{future, io, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -31,7 +32,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A named statement of a session.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Prepared {
     /// The caller's name for it.
     pub name: Name,
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -12,8 +12,8 @@
     pub name: Name,
     /// Its availability zone.
     pub zone: Name,
-    /// Where callers connect.
-    pub listen: SocketAddrV4,
+    /// Where other instances connect.
+    pub peer_addr: SocketAddrV4,
     /// From the signal to end until the process is killed.
     pub grace: Duration,
 }
@@ -46,6 +46,17 @@
 pub const GATE_PAUSE_MOST: Duration = Duration::from_millis(32);
 /// After this long without an answer from one replica, all are asked.
 pub const ASK_OTHERS: Duration = Duration::from_millis(25);
+/// After a statement has had no answer for this long, its server is asked whether it is there. Most
+/// statements take under 100 ms.
+pub const PATIENCE: Duration = Duration::from_millis(120);
+/// After a question has had no answer for this long, another instance is asked to put it too.
+pub const RELAY_AFTER: Duration = Duration::from_millis(120);
+/// Between two tries to reach a server again that others reach.
+pub const PROBE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Another instance that couldn't reach a server isn't asked for it again for this long.
+pub const UNFIT_PAUSE: Duration = Duration::from_millis(1_000);
+/// Most instances that are asked to put a question.
+pub const RELAYS: usize = 4;
 /// Between two rounds of questions for the primary while there is none.
 pub const PRIMARY_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before a statement that didn't run is tried again, first and longest.
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -6,22 +6,23 @@
 
 use {
     crate::{
-        conn::{ConnError, Values},
+        channel::{Channel, RunError, Sending, What},
+        conn::Values,
         count::{self, Count},
         group::{Group, Upstream},
-        instance::{Instance, Micros},
-        model::{Answer, Code, Order, ReadPolicy, Route, Statement, TxnState, Verb},
-        pool::{Denied, Lease, Want},
+        instance::{Instance, Micros, micros},
+        model::{Answer, Code, ReadPolicy, Route, Statement, TxnState, Verb},
+        pool::{Denied, Want},
         ports::{Forward, Text},
         session::{Prepared, Session, text},
-        settings::{AGE_MARGIN, COME_BACK_MS, HEDGE_SHARE, PREPARED_MOST, RETRY_PAUSE, TRIES},
+        settings::{AGE_MARGIN, COME_BACK_MS, HEDGE_SHARE, PATIENCE, RETRY_PAUSE, TRIES},
     },
-    bytes::BytesMut,
+    bytes::Bytes,
     futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
     pondtrack_core::retry::Backoff,
     pondtrack_proto::Mark,
     std::{rc::Rc, time::Duration},
-    tokio::time::{Instant, sleep_until, timeout_at},
+    tokio::time::{Instant, sleep_until, timeout, timeout_at},
 };
 
 /// Time after which a server that owes an answer nobody waits for loses its connection.
@@ -51,12 +52,48 @@
 pub struct Flight {
     /// The server.
     pub up: Rc<Upstream>,
-    /// The connection.
-    pub lease: Lease,
+    /// The way to it.
+    pub channel: Channel,
     /// When it was sent.
     pub sent: Micros,
     /// The answer.
-    pub got: Result<Answer, ConnError>,
+    pub got: Result<Answer, RunError>,
+}
+
+/// A statement with all that goes along to a server.
+pub struct Parcel {
+    id: Bytes,
+    text: Bytes,
+    after: Option<Mark>,
+    values: Values,
+    named: Option<Prepared>,
+    end: Instant,
+}
+
+impl Parcel {
+    /// Runs it; a server that doesn't answer for a while is asked whether it is there.
+    pub async fn run(
+        &self,
+        inst: &Instance,
+        up: &Upstream,
+        channel: &mut Channel,
+    ) -> Result<Answer, RunError> {
+        let text = match &self.named {
+            Some(named) => Text::Execute { name: &named.alias, args: &self.text },
+            None => Text::Plain(&self.text),
+        };
+        let what = What::Forward(Forward { id: &self.id, text, after: self.after });
+        let sending = Sending { values: Some(&self.values), named: self.named.as_ref(), what, end: self.end };
+        let work = channel.run(inst, sending);
+        tokio::pin!(work);
+        match timeout(PATIENCE, &mut work).await {
+            Ok(it) => it,
+            Err(_) => {
+                up.ask_after(inst.now().saturating_sub(micros(PATIENCE)));
+                work.await
+            }
+        }
+    }
 }
 
 /// A statement at a server that will be answered.
@@ -194,14 +231,13 @@
         };
         tried.push(up.index);
         let wait = self.route.objective / 4;
-        let mut lease = self.lend(session, &up, Instant::now() + wait).await?;
-        let mut out = BytesMut::new();
-        self.put(need.mark, &mut out);
+        let mut channel = self.reach(session, &up, Instant::now() + wait).await?;
+        let parcel = self.parcel(session, need.mark);
         let inst = self.inst.clone();
         let sent = inst.now();
         Ok(Box::pin(async move {
-            let got = exchange(&inst, &mut lease, &out).await;
-            Flight { up, lease, sent, got }
+            let got = parcel.run(&inst, &up, &mut channel).await;
+            Flight { up, channel, sent, got }
         }))
     }
 
@@ -217,62 +253,58 @@
         }
     }
 
-    /// A connection to a server, in the session's state.
-    pub async fn lend(&self, session: &Session, up: &Upstream, until: Instant) -> Result<Lease, Miss> {
-        let want = Want {
-            priority: self.route.priority,
-            until: until.min(self.end),
-            values: Some(session.values.clone()),
-        };
-        let began = self.inst.now();
-        let mut lease = match up.pool.lend(&self.inst, &up.entry(), want).await {
-            Ok(it) => it,
-            Err(Denied::Busy) if Instant::now() >= self.end => {
-                return Err(Miss::Late("no connection is free"));
-            }
-            Err(Denied::Busy) => return Err(Miss::Again),
+    /// A way to a server.
+    pub async fn reach(&self, session: &Session, up: &Rc<Upstream>, until: Instant) -> Result<Channel, Miss> {
+        let until = until.min(self.end);
+        if !up.is_reachable() {
+            let found = up.relay(&self.inst, self.route.priority, until).await;
+            return found.map(Channel::Relayed).ok_or(Miss::Again);
+        }
+        let want = Want { priority: self.route.priority, until, values: Some(session.values.clone()) };
+        match up.pool.lend(&self.inst, &up.entry(), want).await {
+            Ok(it) => Ok(Channel::Direct(it)),
+            Err(Denied::Busy) if Instant::now() >= self.end => Err(Miss::Late("no connection is free")),
+            Err(Denied::Busy) => Err(Miss::Again),
             Err(Denied::Unreachable(e)) => {
                 if self.inst.may_log() {
                     log::info!(server = up.entry().id.as_str(); "{e}");
                 }
-                up.unanswered(began);
-                up.unreachable(self.inst.now(), e.is_refusal());
-                return Err(Miss::Again);
+                up.failed(self.inst.now(), e.is_refusal());
+                Err(Miss::Again)
             }
-        };
-        match timeout_at(self.end, align(&self.inst, &mut lease, &session.values, self.named.as_ref())).await
-        {
-            Ok(true) => Ok(lease),
-            Ok(false) => Err(Miss::Again),
-            Err(_) => Err(Miss::Late("the server doesn't answer")),
         }
     }
 
-    /// Appends the statement towards a server.
-    pub fn put(&self, after: Option<Mark>, out: &mut BytesMut) {
-        let text = match (&self.it.verb, &self.named) {
-            (Verb::Execute { args, .. }, Some(named)) => Text::Execute { name: &named.alias, args },
-            _ => Text::Plain(&self.it.text),
+    /// The statement with all that goes along.
+    pub fn parcel(&self, session: &Session, after: Option<Mark>) -> Parcel {
+        let text = match &self.it.verb {
+            Verb::Execute { args, .. } if self.named.is_some() => args,
+            _ => &self.it.text,
         };
-        self.inst.edge.dialect.forward(Forward { id: &self.it.id, text, after }, out);
+        Parcel {
+            id: self.it.id.clone(),
+            text: text.clone(),
+            after,
+            values: session.values.clone(),
+            named: self.named.clone(),
+            end: self.end,
+        }
     }
 
     /// Takes the answer to a read: the answer for the caller, or the error of a try that failed.
     fn landed(&self, group: &Group, flight: Flight) -> Result<Answer, Option<Answer>> {
-        let Flight { up, lease, sent, got } = flight;
+        let Flight { up, channel, sent, got } = flight;
         let now = self.inst.now();
         let answer = match got {
             Ok(it) => it,
             Err(e) => {
-                log::debug!("{e}");
-                up.unanswered(sent);
-                up.ask();
+                up.missed(&e, channel.via(), sent, now);
                 return Err(None);
             }
         };
         self.judge(group, &up, &answer, sent, now);
         if answer.txn == TxnState::Idle && answer.code() != Some(Code::NoStatement) {
-            lease.give_back();
+            channel.give_back();
         }
         match answer.code() {
             None => {
@@ -314,7 +346,7 @@
             let Some(up) = group.wait_primary(&self.inst, self.end).await else {
                 return busy("the group has no primary", TxnState::Idle);
             };
-            let mut lease = match self.lend(session, &up, self.end).await {
+            let mut channel = match self.reach(session, &up, self.end).await {
                 Ok(it) => it,
                 Err(Miss::Late(why)) => return busy(why, TxnState::Idle),
                 Err(Miss::Again) => {
@@ -322,25 +354,26 @@
                     continue;
                 }
             };
-            let mut out = BytesMut::new();
-            self.put(None, &mut out);
             let sent = self.inst.now();
-            let got = timeout_at(self.end, exchange(&self.inst, &mut lease, &out)).await;
-            let answer = match got {
-                Ok(Ok(it)) => it,
-                Ok(Err(e)) => {
-                    up.unanswered(sent);
-                    up.ask();
-                    return unknown(&format!("the connection broke: {e}"));
-                }
-                Err(_) => {
-                    up.unanswered(sent);
-                    return Answer::error(Code::Timeout, "no answer in time", TxnState::Idle);
+            let answer = match self.parcel(session, None).run(&self.inst, &up, &mut channel).await {
+                Ok(it) => it,
+                Err(e) => {
+                    up.missed(&e, channel.via(), sent, self.inst.now());
+                    match e {
+                        RunError::NotSent { .. } | RunError::Busy => {
+                            self.pause(&mut backoff).await;
+                            continue;
+                        }
+                        RunError::Late => {
+                            return Answer::error(Code::Timeout, text(e.to_string()), TxnState::Idle);
+                        }
+                        RunError::Broken { .. } => return unknown(&e.to_string()),
+                    }
                 }
             };
             self.judge(&group, &up, &answer, sent, self.inst.now());
             if answer.txn == TxnState::Idle && answer.code() != Some(Code::NoStatement) {
-                lease.give_back();
+                channel.give_back();
             }
             match answer.code() {
                 None => return self.acknowledge(session, &group, answer).await,
@@ -377,73 +410,14 @@
     Answer::error(Code::Unknown, text(why), TxnState::Idle)
 }
 
-/// Sends bytes over a connection and waits for the answer.
-pub async fn exchange(inst: &Instance, lease: &mut Lease, out: &[u8]) -> Result<Answer, ConnError> {
-    let Some(conn) = lease.conn() else { unreachable!("a lease has its connection until it is given back") };
-    conn.send(out).await?;
-    conn.next(inst.edge.dialect.as_ref()).await
-}
-
-/// Brings a connection into a session's state. False when that failed and the connection is of no use.
-pub async fn align(inst: &Instance, lease: &mut Lease, values: &Values, named: Option<&Prepared>) -> bool {
-    let Some(conn) = lease.conn() else { return false };
-    let mut orders = Vec::new();
-    let known = conn.values.as_ref();
-    let mut reset = conn.prepared.len() >= PREPARED_MOST;
-    // Values can only be taken away all at once.
-    reset |=
-        known.is_none_or(|old| old.iter().any(|it| values.binary_search_by(|new| new.0.cmp(&it.0)).is_err()));
-    if reset {
-        orders.push(Order::Reset);
-    }
-    let has = |it: &(pondtrack_proto::Name, pondtrack_proto::Name)| {
-        !reset && known.is_some_and(|old| old.binary_search(it).is_ok())
-    };
-    for it in values.iter().filter(|it| !has(it)) {
-        orders.push(Order::Set { name: it.0.clone(), value: it.1.clone() });
-    }
-    let prepare = named.filter(|it| reset || conn.prepared.binary_search(&it.alias).is_err());
-    if let Some(it) = prepare {
-        let name = it.alias.clone();
-        orders.push(Order::Prepare { name, access: it.access, shape: it.shape.clone() });
-    }
-    if orders.is_empty() {
-        return true;
-    }
-    let mut out = BytesMut::new();
-    for it in &orders {
-        inst.edge.dialect.order(it, None, &mut out);
-    }
-    // Until all are answered its state isn't known.
-    conn.values = None;
-    if reset {
-        conn.prepared.clear();
-    }
-    if conn.send(&out).await.is_err() {
-        return false;
-    }
-    for _ in &orders {
-        match conn.next(inst.edge.dialect.as_ref()).await {
-            Ok(it) if it.is_done() => {}
-            Ok(_) | Err(_) => return false,
-        }
-    }
-    conn.values = Some(values.clone());
-    if let Some(it) = prepare {
-        let at = conn.prepared.binary_search(&it.alias).unwrap_or_else(|at| at);
-        conn.prepared.insert(at, it.alias.clone());
-    }
-    true
-}
-
 /// Leaves statements whose answers nobody waits for to end on their own.
 fn reap(flights: Flights) {
     for it in flights {
         tokio::task::spawn_local(async move {
-            if let Ok(Flight { lease, got: Ok(answer), .. }) = tokio::time::timeout(REAP_LIMIT, it).await
+            if let Ok(Flight { channel, got: Ok(answer), .. }) = timeout(REAP_LIMIT, it).await
                 && answer.txn == TxnState::Idle
             {
-                lease.give_back();
+                channel.give_back();
             }
         });
     }
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -224,6 +224,9 @@
         }
         let mut known: Vec<(&Rc<Upstream>, Status)> =
             others.iter().zip(answers).filter_map(|(it, status)| Some((it, status?))).collect();
+        if known.iter().any(|it| it.1.role == Role::Primary && it.1.term >= self.term) {
+            return Err("a primary was found");
+        }
         known.retain(|it| it.1.role == Role::Replica);
         // The longest log first; of equal ones a server that stays.
         known.sort_by_key(|it| (std::cmp::Reverse(it.1.received), it.0.entry().draining));
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -2,19 +2,18 @@
 
 use {
     crate::{
+        channel::{Channel, RunError, Sending, What},
         count::Count,
         group::{Group, Upstream},
         instance::Instance,
         model::{Access, Answer, Code, Order, ReadPolicy, Route, TxnState},
-        pool::Lease,
         session::{Session, text},
         settings::{ORDER_LIMIT, RETRY_PAUSE, TRIES},
-        statement::{Miss, Work, align, busy, exchange, unknown},
+        statement::{Miss, Work, busy, unknown},
     },
-    bytes::BytesMut,
     pondtrack_core::retry::Backoff,
     std::rc::Rc,
-    tokio::time::{Instant, timeout, timeout_at},
+    tokio::time::Instant,
 };
 
 /// A session's transaction.
@@ -33,7 +32,7 @@
     group: Rc<Group>,
     up: Rc<Upstream>,
     route: Rc<Route>,
-    lease: Lease,
+    channel: Channel,
     state: TxnState,
     wrote: bool,
 }
@@ -89,14 +88,15 @@
     /// Rolls it back; the connection is kept if the server answers.
     pub async fn abandon(&mut self) {
         if let Txn::Open(it) = std::mem::replace(self, Txn::None) {
-            let OpenTxn { inst, mut lease, .. } = *it;
-            let Some(conn) = lease.conn() else { return };
-            let order = conn.order(inst.edge.dialect.as_ref(), &Order::Rollback);
-            if let Ok(Ok(answer)) = timeout(ORDER_LIMIT, order).await
+            let OpenTxn { inst, mut channel, .. } = *it;
+            let what = What::Order(&Order::Rollback, None);
+            let sending = Sending { values: None, named: None, what, end: Instant::now() + ORDER_LIMIT };
+            // Without an answer the connection is closed, which rolls back as well.
+            if let Ok(answer) = channel.run(&inst, sending).await
                 && answer.is_done()
                 && answer.txn == TxnState::Idle
             {
-                lease.give_back();
+                channel.give_back();
             }
         }
     }
@@ -145,15 +145,14 @@
             }
         };
         tried.push(up.index);
-        let mut lease = self.lend(session, &up, self.end).await.map_err(Miss::refusal)?;
-        let mut out = BytesMut::new();
-        self.inst.edge.dialect.order(&Order::Begin(access), need.mark, &mut out);
+        let mut channel = self.reach(session, &up, self.end).await.map_err(Miss::refusal)?;
+        let what = What::Order(&Order::Begin(access), need.mark);
+        let sending = Sending { values: Some(&session.values), named: None, what, end: self.end };
         let sent = self.inst.now();
-        let answer = match timeout_at(self.end, exchange(&self.inst, &mut lease, &out)).await {
-            Ok(Ok(it)) => it,
-            Ok(Err(_)) | Err(_) => {
-                up.unanswered(sent);
-                up.ask();
+        let answer = match channel.run(&self.inst, sending).await {
+            Ok(it) => it,
+            Err(e) => {
+                up.missed(&e, channel.via(), sent, self.inst.now());
                 return Err(None);
             }
         };
@@ -162,7 +161,7 @@
             None => {}
             Some(code) => {
                 if answer.txn == TxnState::Idle {
-                    lease.give_back();
+                    channel.give_back();
                 }
                 return Err((!code.not_run() && code != Code::Failed).then_some(answer));
             }
@@ -173,39 +172,31 @@
             return Err(Some(busy("the primary isn't confirmed", TxnState::Idle)));
         }
         let (inst, group, route) = (self.inst.clone(), group.clone(), self.route.clone());
-        Ok(OpenTxn { inst, group, up, route, lease, state: TxnState::Open, wrote: false })
+        Ok(OpenTxn { inst, group, up, route, channel, state: TxnState::Open, wrote: false })
     }
 
     /// Runs a statement of an open transaction.
     pub async fn in_transaction(&self, session: &mut Session, access: Access) -> Answer {
-        let values = session.values.clone();
+        let parcel = self.parcel(session, None);
         let Txn::Open(txn) = &mut session.txn else { return busy("no transaction", TxnState::Idle) };
         let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
         loop {
-            let ready = align(&self.inst, &mut txn.lease, &values, self.named.as_ref());
-            if !matches!(timeout_at(self.end, ready).await, Ok(true)) {
-                session.txn.lose("its connection to the server broke");
-                return session.txn.report_lost();
-            }
-            let mut out = BytesMut::new();
-            self.put(None, &mut out);
             let sent = self.inst.now();
-            let got = timeout_at(self.end, exchange(&self.inst, &mut txn.lease, &out)).await;
-            let Ok(Ok(answer)) = got else {
-                txn.up.unanswered(sent);
-                txn.up.ask();
-                session.txn.lose("the server didn't answer");
-                return session.txn.report_lost();
+            let answer = match parcel.run(&self.inst, &txn.up, &mut txn.channel).await {
+                Ok(it) => it,
+                Err(e) => {
+                    txn.up.missed(&e, txn.channel.via(), sent, self.inst.now());
+                    session.txn.lose("the server didn't answer");
+                    return session.txn.report_lost();
+                }
             };
             self.judge(&txn.group, &txn.up, &answer, sent, self.inst.now());
             // Provably not run, and the transaction goes on.
             let again =
                 matches!(answer.code(), Some(Code::Busy | Code::NoStatement)) && answer.txn == TxnState::Open;
             if again && Instant::now() < self.end {
-                if answer.code() == Some(Code::NoStatement)
-                    && let Some(conn) = txn.lease.conn()
-                {
-                    conn.prepared.clear();
+                if answer.code() == Some(Code::NoStatement) {
+                    txn.channel.forget_prepared();
                 }
                 self.pause(&mut backoff).await;
                 continue;
@@ -230,21 +221,24 @@
             session.txn.rollback().await;
             return Answer::error(Code::Aborted, "the transaction had failed", TxnState::Idle);
         }
-        let OpenTxn { group, up, mut lease, wrote, .. } = *txn;
+        let OpenTxn { group, up, mut channel, wrote, .. } = *txn;
+        let parcel = self.parcel(session, None);
         let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
-        let mut out = BytesMut::new();
-        self.put(None, &mut out);
         loop {
             let sent = self.inst.now();
-            let got = timeout_at(self.end, exchange(&self.inst, &mut lease, &out)).await;
-            let answer = match got {
-                Ok(Ok(it)) => it,
-                Ok(Err(_)) | Err(_) => {
-                    up.unanswered(sent);
-                    up.ask();
-                    return match wrote {
-                        true => unknown("the commit wasn't answered"),
-                        false => Answer::error(Code::Aborted, "the server didn't answer", TxnState::Idle),
+            let answer = match parcel.run(&self.inst, &up, &mut channel).await {
+                Ok(it) => it,
+                Err(e) => {
+                    up.missed(&e, channel.via(), sent, self.inst.now());
+                    return match (wrote, e) {
+                        (true, RunError::Broken { .. } | RunError::Late) => {
+                            unknown("the commit wasn't answered")
+                        }
+                        _ => Answer::error(
+                            Code::Aborted,
+                            "the commit wasn't sent, or kept nothing",
+                            TxnState::Idle,
+                        ),
                     };
                 }
             };
@@ -256,7 +250,7 @@
             }
             return match answer.code() {
                 None if answer.txn == TxnState::Idle => {
-                    lease.give_back();
+                    channel.give_back();
                     match wrote {
                         true => self.acknowledge(session, &group, answer).await,
                         false => answer,
@@ -267,7 +261,7 @@
                     Answer::error(Code::Aborted, "the server refused to commit", TxnState::Idle)
                 }
                 Some(_) if answer.txn == TxnState::Idle => {
-                    lease.give_back();
+                    channel.give_back();
                     answer
                 }
                 _ => unknown("the commit had no clear answer"),
--- a/crates/pondtrackd/src/hosted.rs
+++ b/crates/pondtrackd/src/hosted.rs
@@ -9,7 +9,7 @@
         instance::Instance,
         lease,
         ports::{Collection, Edge},
-        session, settings, takeover,
+        relay, session, settings, takeover,
     },
     pondtrack_platform::{
         Boot, Lines, ObjectStore, Orders,
@@ -115,12 +115,14 @@
     let own = settings::Settings {
         name: boot.name.clone(),
         zone: boot.zone.clone(),
-        listen: boot.listen.callers,
+        peer_addr: SocketAddrV4::new(*boot.listen.callers.ip(), boot.peer_ports.0),
         grace: boot.bounds.grace,
     };
     let inst = Instance::new(own, edge);
     let callers = listen("callers", boot.listen.callers).await?;
     let ready = listen("ready", boot.listen.ready).await?;
+    let links = listen("other instances", inst.settings.peer_addr).await?;
+    tokio::task::spawn_local(relay::accept(inst.clone(), links));
     tokio::task::spawn_local(probe(inst.clone(), ready));
     tokio::task::spawn_local(feed::follow(inst.clone(), Collection::Desired));
     tokio::task::spawn_local(feed::follow(inst.clone(), Collection::Servers));
