Store calls: few instances watch, and tell the others; connections and questions are fewer

Ruled out: slow processes (up 0.1 s after the power), the store (it answered). Change: half of the connections are shared out, others opened on demand; beats between instances; heartbeats of 12 s; evidence is renewed at 65% of the route's age; an address that refuses is reported through relays.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -81,9 +81,10 @@
 /// How many homes a server with room for `limit` connections has among `instances`: all of them where
 /// that leaves each enough, few otherwise.
 pub fn spread(limit: usize, instances: usize) -> usize {
-    match limit / instances.max(1) {
-        each if each >= OWN_CONNS => instances.max(1),
-        _ => (limit / HOME_CONNS).clamp(1, instances.max(1)),
+    let instances = instances.max(1);
+    match limit / instances {
+        each if each >= OWN_CONNS => instances,
+        _ => (limit / HOME_CONNS).clamp(1, instances),
     }
 }
 
--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -53,6 +53,9 @@
     /// Nothing was sent: no connection was free.
     #[snafu(display("no connection is free"))]
     Busy,
+    /// Nothing was sent: nobody listens at the server's address.
+    #[snafu(display("nobody listens at the server's address"))]
+    Gone,
     /// There is no answer in time; it may have run.
     #[snafu(display("no answer in time"))]
     Late,
@@ -69,6 +72,7 @@
         match it {
             RunError::NotSent { reason } => Told::NotSent(reason),
             RunError::Busy => Told::Busy,
+            RunError::Gone => Told::Gone,
             RunError::Late => Told::Broken(it.to_string()),
             RunError::Broken { reason } => Told::Broken(reason),
         }
@@ -131,8 +135,11 @@
             }
             Told::NotSent(reason) => Err(RunError::NotSent { reason }),
             Told::Busy => Err(RunError::Busy),
+            Told::Gone => Err(RunError::Gone),
             Told::Broken(reason) => Err(RunError::Broken { reason }),
-            Told::Status(_) => Err(RunError::Broken { reason: "another answer than asked for".to_owned() }),
+            Told::Status(_) | Told::Desired { .. } | Told::Directory { .. } => {
+                Err(RunError::Broken { reason: "another answer than asked for".to_owned() })
+            }
         }
     }
 }
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -3,46 +3,64 @@
 use {
     crate::{
         count::Count,
-        instance::{Instance, Micros, micros},
+        instance::{Instance, micros},
+        model::Server,
         peer::Peer,
         ports::{Collection, InstanceRecord, Object, Objects, Record, StoreError},
         settings::GONE_AFTER,
     },
     pondtrack_proto::Name,
     std::{rc::Rc, time::Duration},
-    tokio::time::sleep,
+    tokio::time::{Instant, sleep},
 };
 
 /// The longest wait of one watch. A cut that hides its end is noticed after this long; a change has to be
 /// in force 3,000 ms after a cut of any length has been healed for 4,000 ms.
-const WATCH: Duration = Duration::from_millis(4_000);
+const WATCH: Duration = Duration::from_millis(2_500);
 /// Pause after a failed call, shortest and its spread in milliseconds: the store refuses at most for
 /// seconds, and each call has its price.
 const PAUSE: (u64, u64) = (150, 150);
+/// The same for an instance that only reads the store because nobody tells it what is there.
+const LONG_PAUSE: (u64, u64) = (700, 700);
+/// Between two looks whether the store has to be watched.
+const IDLE: Duration = Duration::from_millis(500);
 /// Between two looks for servers that have left.
 const SWEEP: Duration = Duration::from_millis(500);
-/// Between two heartbeats of an instance.
-const HEARTBEAT: Duration = Duration::from_millis(4_000);
-/// Heartbeats without a change after which an instance doesn't count.
-const MISSED: u64 = 3;
+/// Between two heartbeats of an instance. Only shares of connections and ways through others depend on
+/// them, and a dead instance is passed over long before.
+const HEARTBEAT: Duration = Duration::from_millis(12_000);
+/// Between two looks at the entries of all instances, which are read at a tenth of the price.
+const LOOK: Duration = Duration::from_millis(3_000);
+/// The same after the start, when the others come up as well.
+const FIRST_LOOK: Duration = Duration::from_millis(1_000);
+/// Looks without a change after which an instance doesn't count: two missed heartbeats and some room.
+const MISSED: u64 = 10;
 
-/// Keeps a collection up to date, for good.
+/// Keeps a collection up to date while this instance has to watch the store itself, for good.
 pub async fn follow(inst: Rc<Instance>, what: Collection) {
-    let mut since = None;
     let mut failing = false;
+    // The revision after which changes are wanted; none when everything has to be read.
+    let mut since = None;
     loop {
+        if !inst.spread.must_watch(&inst) {
+            since = None;
+            sleep(IDLE).await;
+            continue;
+        }
         let got = match since {
             None => inst.edge.store.list(what, false).await,
             Some(at) => inst.edge.store.watch(what, at, WATCH).await,
         };
         inst.counters.one(Count::StoreCalls);
+        inst.spread.watched(what, got.is_ok());
         match got {
             Ok(it) => {
                 if std::mem::take(&mut failing) {
                     log::info!(collection:% = what; "store regained");
                 }
-                take(&inst, what, &it, since.is_none());
-                since = Some(it.as_of);
+                let as_of = it.as_of;
+                take(&inst, what, it, since.is_none());
+                since = Some(as_of);
             }
             Err(StoreError::Compacted) => since = None,
             Err(e) => {
@@ -50,47 +68,40 @@
                 if !std::mem::replace(&mut failing, true) {
                     log::warn!(collection:% = what; "store lost: {e}");
                 }
-                pause(&inst).await;
+                let pause = if inst.spread.is_watcher(&inst) { PAUSE } else { LONG_PAUSE };
+                sleep(Duration::from_millis(pause.0 + inst.random(pause.1))).await;
             }
         }
     }
 }
 
-async fn pause(inst: &Instance) {
-    sleep(Duration::from_millis(PAUSE.0 + inst.random(PAUSE.1))).await;
-}
-
 /// Takes objects in; `whole` says that whatever isn't among them doesn't exist.
-fn take(inst: &Rc<Instance>, what: Collection, objects: &Objects, whole: bool) {
-    let now = inst.now();
-    for it in &objects.items {
-        match &it.record {
-            Some(Record::Desired(desired)) => inst.adopt(desired.clone()),
-            Some(Record::Server(server)) => inst.enter(server.clone()),
+fn take(inst: &Rc<Instance>, what: Collection, objects: Objects, whole: bool) {
+    let as_of = objects.as_of;
+    // Another instance may have told of a later state while this answer was under way.
+    let is_old = inst.revision(what).is_some_and(|it| it > as_of);
+    let old = inst.directory();
+    let mut servers = if whole { Vec::new() } else { old.clone() };
+    for it in objects.items {
+        match it.record {
+            Some(Record::Desired(desired)) => inst.adopt(desired, as_of),
+            Some(Record::Server(server)) => put(&mut servers, server),
             Some(Record::Unreadable(e)) => {
                 log::error!(collection:% = what, object = it.name.as_str(); "unreadable: {e}");
             }
             Some(Record::Instance(_) | Record::Lease(_)) => {}
-            None => leave(inst, &it.name, now),
+            None => servers.retain(|old| old.id != it.name),
         }
     }
-    if what != Collection::Servers {
-        return;
-    }
-    inst.set_listed();
-    if whole {
-        for it in inst.groups().iter().flat_map(|it| it.servers()) {
-            let id = it.entry().id.clone();
-            if !objects.items.iter().any(|it| it.name == id) {
-                leave(inst, &id, now);
-            }
-        }
+    if what == Collection::Servers && !is_old && (servers != old || inst.revision(what).is_none()) {
+        inst.set_directory(servers, as_of);
     }
 }
 
-fn leave(inst: &Instance, id: &Name, now: Micros) {
-    for group in inst.groups() {
-        group.leave(id, now);
+fn put(servers: &mut Vec<Server>, server: Server) {
+    match servers.binary_search_by(|it| it.id.cmp(&server.id)) {
+        Ok(at) => servers[at] = server,
+        Err(at) => servers.insert(at, server),
     }
 }
 
@@ -105,7 +116,7 @@
             }
             for it in group.servers() {
                 it.pool.trim(
-                    tokio::time::Instant::now(),
+                    Instant::now(),
                     it.entry().draining && group.servers().len() > 1 && !is_primary(&group, it.index),
                 );
             }
@@ -119,56 +130,71 @@
 
 /// Writes this instance's entry now and then, and counts the others.
 pub async fn enlist(inst: Rc<Instance>) {
-    let name = inst.settings.name.clone();
-    let mut beat = 0;
-    let mut revision = None;
+    let mut entry = Entry { revision: None, written: None };
     let mut known: Vec<(Name, u64, u64)> = Vec::new();
-    loop {
-        beat += 1;
-        let record = InstanceRecord {
-            beat: inst.now(),
-            zone: inst.settings.zone.clone(),
-            addr: inst.settings.peer_addr,
-        };
-        inst.counters.one(Count::StoreCalls);
-        let put = inst
-            .edge
-            .store
-            .put(Collection::Instances, name.clone(), Record::Instance(record), revision)
-            .await;
-        match put {
-            Ok(it) => revision = Some(it),
-            Err(StoreError::Conflict { current }) => {
-                revision = current.map(|it| it.revision);
-                pause(&inst).await;
-                continue;
-            }
-            Err(StoreError::Missing) => revision = None,
-            Err(e) => log::debug!("heartbeat: {e}"),
-        }
+    for look in 1.. {
+        entry.keep(&inst).await;
         inst.counters.one(Count::StoreCalls);
         match inst.edge.store.list(Collection::Instances, true).await {
-            Ok(it) => inst.set_peers(live(&mut known, &it.items, beat)),
+            Ok(it) => inst.set_peers(live(&mut known, &it.items, look)),
             Err(e) => log::debug!("instances: {e}"),
         }
-        sleep(HEARTBEAT + Duration::from_millis(inst.random(500))).await;
+        let pause = if look < 3 { FIRST_LOOK } else { LOOK };
+        sleep(pause + Duration::from_millis(inst.random(500))).await;
+    }
+}
+
+/// This instance's own entry.
+struct Entry {
+    revision: Option<u64>,
+    written: Option<Instant>,
+}
+
+impl Entry {
+    /// Writes the entry if a heartbeat is due.
+    async fn keep(&mut self, inst: &Instance) {
+        if self.written.is_some_and(|at| at.elapsed() < HEARTBEAT) {
+            return;
+        }
+        // Once more if an earlier process of the same name has left an entry.
+        for _ in 0..2 {
+            let record = InstanceRecord {
+                beat: inst.now(),
+                zone: inst.settings.zone.clone(),
+                addr: inst.settings.peer_addr,
+            };
+            inst.counters.one(Count::StoreCalls);
+            let name = inst.settings.name.clone();
+            let store = &inst.edge.store;
+            let put = store.put(Collection::Instances, name, Record::Instance(record), self.revision);
+            match put.await {
+                Ok(it) => {
+                    self.revision = Some(it);
+                    self.written = Some(Instant::now());
+                    return;
+                }
+                Err(StoreError::Conflict { current }) => self.revision = current.map(|it| it.revision),
+                Err(StoreError::Missing) => self.revision = None,
+                Err(e) => return log::debug!("heartbeat: {e}"),
+            }
+        }
     }
 }
 
 /// The instances whose entries changed lately; `known` holds names, revisions and when they were new.
-fn live(known: &mut Vec<(Name, u64, u64)>, items: &[Object], beat: u64) -> Vec<Peer> {
+fn live(known: &mut Vec<(Name, u64, u64)>, items: &[Object], look: u64) -> Vec<Peer> {
     known.retain(|it| items.iter().any(|item| item.name == it.0));
     let mut peers = Vec::new();
     for item in items {
         let at = known.binary_search_by(|it| it.0.cmp(&item.name)).unwrap_or_else(|at| {
-            known.insert(at, (item.name.clone(), 0, beat));
+            known.insert(at, (item.name.clone(), 0, look));
             at
         });
         if known[at].1 != item.revision {
-            known[at] = (item.name.clone(), item.revision, beat);
+            known[at] = (item.name.clone(), item.revision, look);
         }
         match &item.record {
-            Some(Record::Instance(it)) if beat - known[at].2 < MISSED => {
+            Some(Record::Instance(it)) if look - known[at].2 < MISSED => {
                 peers.push(Peer::new(item.name.clone(), it.zone.clone(), it.addr));
             }
             _ => {}
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -13,7 +13,7 @@
         peer::{Ask, Peer, Told},
         pool::{Denied, Pool, Want},
         settings::{
-            ASK_OTHERS, ASK_WAIT, DRAIN_USE, EVIDENCE_AGE, GATE_PAUSE, GATE_PAUSE_MOST, LAG_FACTOR,
+            ASK_OTHERS, ASK_WAIT, DRAIN_USE, EVIDENCE_PERCENT, GATE_PAUSE, GATE_PAUSE_MOST, LAG_FACTOR,
             ORDER_LIMIT, PRIMARY_PAUSE, PROBE_PAUSE, RELAY_AFTER, RELAYS, UNFIT_PAUSE, UNREACHABLE_PAUSE,
         },
     },
@@ -131,9 +131,7 @@
     /// It can't be reached over a connection of this instance.
     pub fn failed(&self, now: Micros, refused: bool) {
         if refused {
-            // Nobody listens there, for others neither.
-            self.refused.set(self.refused.get().or(Some(now)));
-            self.avoid.set(now + micros(UNREACHABLE_PAUSE));
+            self.refuse(now);
         } else if self.direct.replace(false) {
             log::info!(server = self.entry().id.as_str(); "not reached");
             self.pool.trim(Instant::now(), true);
@@ -142,10 +140,18 @@
         self.ask();
     }
 
+    /// Nobody listens at its address, for other instances neither.
+    fn refuse(&self, now: Micros) {
+        self.refused.set(self.refused.get().or(Some(now)));
+        self.avoid.set(now + micros(UNREACHABLE_PAUSE));
+        self.unanswered(now);
+    }
+
     /// A statement sent at `sent` has no answer.
     pub fn missed(&self, e: &RunError, via: Option<&Name>, sent: Micros, now: Micros) {
         match (e, via) {
             (RunError::Busy, _) => self.busy(now, UNREACHABLE_PAUSE / 10),
+            (RunError::Gone, _) => self.failed(now, true),
             (RunError::NotSent { .. } | RunError::Broken { .. }, Some(peer)) => self.unfit(peer, now),
             (RunError::NotSent { .. }, None) => self.ask(),
             (RunError::Broken { .. } | RunError::Late, _) => {
@@ -309,7 +315,10 @@
         let Some(it) = known else { return self.add(inst, server) };
         let hint = server.role == Some(Role::Primary) && it.entry().role != server.role;
         it.missing.set(None);
-        it.gone.set(false);
+        if it.gone.replace(false) {
+            // Its task has ended.
+            tokio::task::spawn_local(ask_forever(inst.clone(), self.clone(), it.clone()));
+        }
         it.draining.set(server.draining.then(|| it.draining.get().unwrap_or(inst.now())));
         *it.entry.borrow_mut() = Rc::new(server);
         if hint {
@@ -509,7 +518,7 @@
             let changed = self.changed.notified();
             let now = inst.now();
             let needed = self.fresh.borrow().needed(now.saturating_sub(age));
-            self.renew(inst, now, needed.is_some());
+            self.renew(inst, now, age, needed.is_some());
             if needed.is_some() {
                 return needed;
             }
@@ -521,9 +530,9 @@
         }
     }
 
-    /// Has evidence that is getting old, or is not `enough`, renewed.
-    fn renew(&self, inst: &Instance, now: Micros, enough: bool) {
-        let limit = now.saturating_sub(micros(EVIDENCE_AGE));
+    /// Has evidence that is getting too old for `age`, or is not `enough`, renewed.
+    fn renew(&self, inst: &Instance, now: Micros, age: Micros, enough: bool) {
+        let limit = now.saturating_sub(age * EVIDENCE_PERCENT / 100);
         let (observed, confirmed) = {
             let it = self.fresh.borrow();
             (it.observed_at().unwrap_or_default(), it.confirmed_at().unwrap_or_default())
@@ -663,8 +672,9 @@
 
 /// The same through another instance.
 async fn give_through(inst: &Rc<Instance>, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
+    let began = inst.now();
     for _ in 0..RELAYS {
-        let peer = it.fit_peer(inst)?;
+        let Some(peer) = it.fit_peer(inst) else { break };
         let sent = inst.now();
         it.asked.set(sent);
         let ask = Ask::Order { server: it.entry().id.clone(), order: order.clone() };
@@ -673,9 +683,14 @@
                 group.saw(it, status, sent, inst.now());
                 return Some(status);
             }
+            Ok(Told::Gone) => {
+                it.refuse(inst.now());
+                return None;
+            }
             _ => it.unfit(&peer.name, inst.now()),
         }
     }
+    it.unanswered(began);
     None
 }
 
@@ -685,7 +700,7 @@
     let server = it.entry();
     let mut lease = match it.pool.lend(inst, &server, want).await {
         Ok(lease) => lease,
-        Err(Denied::Busy) => return None,
+        Err(Denied::Busy | Denied::Full) => return None,
         Err(Denied::Unreachable(e)) => {
             log::debug!(server = server.id.as_str(); "{e}");
             it.failed(inst.now(), e.is_refusal());
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -7,8 +7,9 @@
         lease::Tenure,
         model::{Desired, Server},
         peer::Peer,
-        ports::Edge,
-        settings::{SPARE_TENTH, Settings},
+        ports::{Collection, Edge},
+        settings::{SHARED_TENTHS, Settings},
+        spread::Spread,
     },
     pondtrack_core::place,
     pondtrack_proto::Name,
@@ -55,8 +56,12 @@
     groups: RefCell<Vec<Rc<Group>>>,
     /// Other live instances, sorted by name; none until they were counted.
     peers: RefCell<Option<Vec<Rc<Peer>>>>,
-    /// Whether the directory of servers was read.
-    listed: Cell<bool>,
+    /// The directory of servers, sorted by id; none until it was read.
+    directory: RefCell<Option<Vec<Server>>>,
+    /// The store's revisions at which the configuration and the directory were last known to have changed.
+    revisions: Cell<(Option<u64>, Option<u64>)>,
+    /// How the configuration and the directory come here.
+    pub spread: Spread,
     leaving: Cell<Option<Instant>>,
     start: Instant,
     rng: RefCell<Pcg64Mcg>,
@@ -77,7 +82,9 @@
             desired: RefCell::default(),
             groups: RefCell::default(),
             peers: RefCell::default(),
-            listed: Cell::default(),
+            directory: RefCell::default(),
+            revisions: Cell::default(),
+            spread: Spread::default(),
             leaving: Cell::default(),
             start: Instant::now(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::rng().random())),
@@ -123,11 +130,12 @@
     }
 
     /// Takes a configuration in if it is newer.
-    pub fn adopt(&self, it: Desired) {
+    pub fn adopt(&self, it: Desired, revision: u64) {
         let old = self.desired.borrow().as_ref().map_or(0, |it| it.version);
         if it.version <= old {
             return;
         }
+        self.set_revision(Collection::Desired, revision);
         log::info!(version = it.version, old, routes = it.routes.len(); "configuration in force");
         *self.desired.borrow_mut() = Some(Rc::new(it));
         self.share_out();
@@ -145,22 +153,61 @@
         self.groups.borrow().clone()
     }
 
-    /// Takes a server's entry in.
-    pub fn enter(self: &Rc<Self>, server: Server) {
-        let group = self.group(&server.group).unwrap_or_else(|| {
+    /// The directory of servers, sorted by id.
+    pub fn directory(&self) -> Vec<Server> {
+        self.directory.borrow().clone().unwrap_or_default()
+    }
+
+    /// Takes a directory in, sorted by id.
+    pub fn set_directory(self: &Rc<Self>, servers: Vec<Server>, revision: u64) {
+        self.set_revision(Collection::Servers, revision);
+        let old = self.directory.replace(Some(servers.clone())).unwrap_or_default();
+        for it in &servers {
+            let known = old.binary_search_by(|old| old.id.cmp(&it.id)).is_ok_and(|at| old[at] == *it);
+            if !known {
+                self.group_of(it).enter(self, it.clone());
+            }
+        }
+        let now = self.now();
+        for it in old.iter().filter(|old| servers.binary_search_by(|it| it.id.cmp(&old.id)).is_err()) {
+            self.group_of(it).leave(&it.id, now);
+        }
+        if old != servers {
+            self.share_out();
+        }
+    }
+
+    fn group_of(&self, server: &Server) -> Rc<Group> {
+        self.group(&server.group).unwrap_or_else(|| {
             let it = Rc::new(Group::new(server.group.clone()));
             let mut groups = self.groups.borrow_mut();
             let at = groups.partition_point(|old| old.name < it.name);
             groups.insert(at, it.clone());
             it
+        })
+    }
+
+    /// The store's revision at which a collection was last known to have changed.
+    pub fn revision(&self, what: Collection) -> Option<u64> {
+        match what {
+            Collection::Desired => self.revisions.get().0,
+            _ => self.revisions.get().1,
+        }
+    }
+
+    /// A collection is known as it was changed at this revision.
+    pub fn set_revision(&self, what: Collection, revision: u64) {
+        let (desired, servers) = self.revisions.get();
+        self.revisions.set(match what {
+            Collection::Desired => (Some(revision), servers),
+            _ => (desired, Some(revision)),
         });
-        group.enter(self, server);
-        self.share_out();
+        self.spread.tell.notify_one();
     }
 
-    /// The directory of servers was read.
-    pub fn set_listed(&self) {
-        self.listed.set(true);
+    /// All other live instances.
+    pub fn peers(&self) -> Option<Vec<Rc<Peer>>> {
+        self.peers.borrow().clone()
     }
 
     /// Another instance.
@@ -194,7 +241,7 @@
         let peers = self.peers.borrow().clone();
         for group in self.groups() {
             let spec = desired.groups.iter().find(|it| it.name == group.name);
-            let conns = spec.map_or(0, |it| it.conns - it.conns * SPARE_TENTH / 10);
+            let conns = spec.map_or(0, |it| it.conns);
             for it in group.servers() {
                 match &peers {
                     Some(peers) => self.share(&it, conns, peers),
@@ -210,17 +257,18 @@
         let me = (&self.settings.name, &self.settings.zone);
         let all = peers.iter().map(|it| (&it.name, &it.zone)).chain([me]);
         let n = place::spread(conns, peers.len() + 1);
+        let share = (conns * SHARED_TENTHS / 10 / n).max(1);
         if n > peers.len() {
             // Each its own home; others are only gone through in need, each by another.
             let subject = format!("{} {}", entry.id, self.settings.name);
             let mut ranked = place::rank(&subject, &entry.zone, all);
             ranked.retain(|it| *it != self.settings.name);
-            up.pool.set_share(conns / n);
+            up.pool.set_share(share);
             return up.place(true, ranked);
         }
         let mut ranked = place::rank(&entry.id, &entry.zone, all);
         let mine = ranked.iter().position(|it| *it == self.settings.name).is_some_and(|at| at < n);
-        up.pool.set_share(if mine { conns / n } else { 0 });
+        up.pool.set_share(if mine { share } else { 0 });
         // Homes share the work of those that are none.
         ranked[..n].rotate_left(place::weight(&entry.id, &self.settings.name) as usize % n);
         ranked.retain(|it| *it != self.settings.name);
@@ -229,7 +277,7 @@
 
     /// Whether new sessions are wanted here.
     pub fn is_ready(&self) -> bool {
-        self.leaving.get().is_none() && self.listed.get() && self.desired.borrow().is_some()
+        self.leaving.get().is_none() && self.directory.borrow().is_some() && self.desired.borrow().is_some()
     }
 
     /// Begins to leave.
--- a/crates/engine/src/lease.rs
+++ b/crates/engine/src/lease.rs
@@ -30,6 +30,8 @@
 const RENEW_LIMIT: Duration = Duration::from_millis(500);
 /// Between two looks of the others, which read at a tenth of the price.
 const LOOK: Duration = Duration::from_millis(600);
+/// With fewer other instances than this all of them look, so that one on the right side of a partition does.
+const ALL_LOOK: usize = 16;
 /// After its start, a process that finds its own name in the record waits for so long: an order of the
 /// process before it may be under way.
 const OWN_AFTER: Duration = Duration::from_millis(800);
@@ -61,6 +63,8 @@
     revision: u64,
     /// When this revision was first seen.
     since: Micros,
+    /// When the question was sent that last showed it.
+    read: Micros,
 }
 
 /// The work of keeping, or waiting for, the right.
@@ -70,12 +74,14 @@
     /// Nonces of renewals and when they were sent.
     sent: Vec<(u64, Micros)>,
     began: Micros,
+    /// Whether the last write had no result.
+    failing: bool,
 }
 
 /// Keeps the right, or takes it when it is free, for good.
 pub async fn keep(inst: Rc<Instance>) {
     let began = inst.now();
-    let mut it = Keeper { inst: inst.clone(), seen: None, sent: Vec::new(), began };
+    let mut it = Keeper { inst: inst.clone(), seen: None, sent: Vec::new(), began, failing: false };
     while inst.leaving().is_none() {
         let pause = it.step().await;
         sleep(pause + Duration::from_millis(inst.random(100))).await;
@@ -87,7 +93,14 @@
     async fn step(&mut self) -> Duration {
         if self.is_mine() {
             self.renew().await;
-            return RENEW;
+            // Past its time nothing is lost by asking more rarely.
+            let lapsed = self.inst.tenure.token(self.inst.now()).is_none();
+            return if lapsed { LOOK } else { RENEW };
+        }
+        // In a large fleet those who watch the store for all are enough to find the right free.
+        let others = self.inst.peers().map_or(0, |it| it.len());
+        if others >= ALL_LOOK && !self.inst.spread.must_watch(&self.inst) {
+            return LOOK;
         }
         self.look().await;
         if self.may_take() {
@@ -102,24 +115,27 @@
     }
 
     async fn look(&mut self) {
+        let sent = self.inst.now();
         self.inst.counters.one(Count::StoreCalls);
         match self.inst.edge.store.list(Collection::Leases, true).await {
             Ok(it) => {
                 let found = it.items.into_iter().find(|it| it.name == NAME);
-                self.see(found);
+                self.see(found, sent);
             }
             Err(e) => log::debug!(step = "lease"; "{e}"),
         }
     }
 
-    fn see(&mut self, object: Option<Object>) {
+    fn see(&mut self, object: Option<Object>, sent: Micros) {
         let Some(Object { revision, record: Some(Record::Lease(record)), .. }) = object else {
             self.seen = None;
             return;
         };
-        // An answer may be older than what is known.
-        if self.seen.as_ref().is_none_or(|it| it.revision < revision) {
-            self.seen = Some(Seen { record, revision, since: self.inst.now() });
+        match &mut self.seen {
+            // An answer may be older than what is known.
+            Some(it) if it.revision > revision => {}
+            Some(it) if it.revision == revision => it.read = sent,
+            _ => self.seen = Some(Seen { record, revision, since: self.inst.now(), read: sent }),
         }
     }
 
@@ -131,7 +147,8 @@
             Some(it) if it.record.holder.is_empty() => true,
             // A process before this one had it, and is no more.
             Some(it) if it.record.holder == self.inst.settings.name => over(self.began, OWN_AFTER),
-            Some(it) => over(it.since, TAKE_AFTER),
+            // Unchanged for long enough, as of the last answer.
+            Some(it) => it.read.saturating_sub(it.since) >= micros(TAKE_AFTER),
         }
     }
 
@@ -165,24 +182,26 @@
         let late = || StoreError::Unanswered { step: "renew", reason: "no answer in time".to_owned() };
         match timeout(RENEW_LIMIT, put).await.unwrap_or_else(|_| Err(late())) {
             Ok(revision) => {
-                self.seen = Some(Seen { record, revision, since: self.inst.now() });
+                self.seen = Some(Seen { record, revision, since: self.inst.now(), read: sent });
                 self.hold(token, sent);
             }
-            Err(StoreError::Conflict { current }) => self.conflict(current.map(|it| *it)),
+            Err(StoreError::Conflict { current }) => self.conflict(current.map(|it| *it), sent),
             Err(StoreError::Missing) => {
                 self.seen = None;
                 self.lose("the record is gone");
             }
             Err(e) => {
                 self.inst.counters.one(Count::StoreFailures);
-                log::info!(token, step = "lease"; "the right to promote isn't renewed: {e}");
+                if !std::mem::replace(&mut self.failing, true) {
+                    log::info!(token, step = "lease"; "the right to promote isn't renewed: {e}");
+                }
             }
         }
     }
 
     /// The record was changed: by an earlier call of this process whose answer was lost, or by another.
-    fn conflict(&mut self, current: Option<Object>) {
-        self.see(current);
+    fn conflict(&mut self, current: Option<Object>, sent: Micros) {
+        self.see(current, sent);
         let Some(seen) = &self.seen else { return self.lose("the record is gone") };
         let token = seen.record.token;
         match self.sent.iter().find(|it| it.0 == seen.record.nonce).map(|it| it.1) {
@@ -191,7 +210,8 @@
         }
     }
 
-    fn hold(&self, token: u64, sent: Micros) {
+    fn hold(&mut self, token: u64, sent: Micros) {
+        self.failing = false;
         let until = sent + micros(HOLD);
         self.inst.tenure.held.set(Some(Held { token, until }));
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,13 +11,14 @@
 //! | [`settings`] | timeouts, limits and weights |
 //! | [`instance`] | what the parts of an instance share |
 //! | [`feed`] | the configuration and the directory, kept up to date |
+//! | [`spread`] | the same for instances that don't watch the store |
 //! | [`group`] | a group's servers and the evidence about them |
 //! | [`conn`], [`pool`] | connections to servers |
 //! | [`channel`] | a way to a server: a connection, or another instance |
 //! | [`peer`], [`relay`] | links between instances, and statements run for others |
 //! | [`session`], [`statement`], [`txn`] | callers |
 //! | [`lease`], [`takeover`] | the right to give orders, and changes of primary |
-//! | [`count`] | counters and histograms |
+//! | [`count`], [`report`] | counters and histograms, and a line that shows them |
 
 pub mod channel;
 pub mod conn;
@@ -31,8 +32,10 @@
 pub mod pool;
 pub mod ports;
 pub mod relay;
+pub mod report;
 pub mod session;
 pub mod settings;
+pub mod spread;
 pub mod statement;
 pub mod takeover;
 pub mod txn;
--- a/crates/engine/src/model.rs
+++ b/crates/engine/src/model.rs
@@ -264,14 +264,12 @@
         /// The statement.
         shape: Name,
     },
-    /// To begin a transaction.
-    Begin(Access),
     /// To roll a transaction back.
     Rollback,
 }
 
 /// What reads of a route have to show.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReadPolicy {
     /// Everything acknowledged before the read.
     Latest,
@@ -292,7 +290,7 @@
 }
 
 /// How callers of a database are served.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// The database that callers ask for.
     pub database: Name,
@@ -309,7 +307,7 @@
 }
 
 /// Limits of a group's servers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupSpec {
     /// The group.
     pub name: Name,
@@ -318,7 +316,7 @@
 }
 
 /// A configuration in full.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Desired {
     /// Its version; a higher one replaces it.
     pub version: u64,
@@ -341,7 +339,7 @@
 }
 
 /// A database server, as its entry in the directory describes it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
     /// Its id; another server at the same address has another one.
     pub id: Name,
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -7,7 +7,8 @@
 use {
     crate::{
         instance::{Instance, Micros, micros},
-        model::{Answer, Order, Status},
+        model::{Answer, Desired, Order, Server, Status},
+        ports::Collection,
         session::Prepared,
     },
     bytes::{Bytes, BytesMut},
@@ -67,17 +68,34 @@
         /// The stream that it ran on.
         stream: u64,
     },
+    /// What an instance that watches the store knows.
+    Beat(Beat),
     /// Is anybody there?
     Ping,
     /// The answer to a ping.
     Pong,
 }
 
+/// What an instance that watches the store knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The instance.
+    pub from: Name,
+    /// The configuration's version.
+    pub version: u64,
+    /// The store's revision of the configuration.
+    pub desired: u64,
+    /// The store's revision of the directory of servers.
+    pub directory: u64,
+}
+
 /// What an instance wants of another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Ask {
     /// To run a statement at a server.
     Run(Box<Run>),
+    /// To tell what it knows of a collection.
+    Fetch(Collection),
     /// To give a server an order that it answers with its account of itself.
     Order {
         /// The server.
@@ -144,6 +162,22 @@
     Broken(String),
     /// The server's account of itself, if it gave one.
     Status(Option<Status>),
+    /// Nothing was sent: nobody listens at the server's address.
+    Gone,
+    /// The configuration.
+    Desired {
+        /// The store's revision.
+        revision: u64,
+        /// The configuration.
+        desired: Box<Desired>,
+    },
+    /// The directory of servers.
+    Directory {
+        /// The store's revision.
+        revision: u64,
+        /// The servers, sorted by id.
+        servers: Vec<Server>,
+    },
 }
 
 /// Another instance.
@@ -239,10 +273,16 @@
         self.next.replace(self.next.get() + 1)
     }
 
+    /// Tells something that isn't answered.
+    pub fn tell(&self, message: Message) {
+        // On a closed link nobody is there to be told.
+        self.out.send(message).ok();
+    }
+
     /// Tells that a stream's transaction is given up.
     pub fn drop_stream(&self, stream: u64) {
         // On a closed link the other side has dropped it already.
-        self.out.send(Message::Drop { stream }).ok();
+        self.tell(Message::Drop { stream });
     }
 
     /// Asks for something.
@@ -262,7 +302,8 @@
             match decode(&bytes) {
                 Some(Message::Told { id, told }) => self.resolve(id, told),
                 Some(Message::Pong) => {}
-                Some(Message::Ask { .. } | Message::Drop { .. } | Message::Ping) | None => break,
+                Some(Message::Ask { .. } | Message::Drop { .. } | Message::Beat(_) | Message::Ping)
+                | None => break,
             }
             if !self.open.get() {
                 break;
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -26,6 +26,8 @@
 pub enum Denied {
     /// All are in use for longer than the caller can wait.
     Busy,
+    /// The server has no connection to spare, and this instance has none.
+    Full,
     /// The server can't be reached.
     Unreachable(ConnError),
 }
@@ -99,6 +101,9 @@
             if Instant::now() >= want.until {
                 return Err(Denied::Busy);
             }
+            if self.open.get() == 0 && self.is_full() {
+                return Err(Denied::Full);
+            }
             if let Some(it) = self.wait(&want).await? {
                 return Ok(it);
             }
@@ -120,8 +125,12 @@
     }
 
     fn may_open(&self) -> bool {
-        let full = self.full.get().is_some_and(|it| it > Instant::now());
-        !full && self.open.get() < self.share.get().max(1) + EXTRA_CONNS
+        !self.is_full() && self.open.get() < self.share.get().max(1) + EXTRA_CONNS
+    }
+
+    /// Whether the server has refused a connection just now.
+    fn is_full(&self) -> bool {
+        self.full.get().is_some_and(|it| it > Instant::now())
     }
 
     fn take_idle(&self, values: Option<&Values>) -> Option<Conn> {
@@ -166,14 +175,11 @@
             let at = waiting.partition_point(|it| it.priority <= want.priority);
             waiting.insert(at, Waiter { priority: want.priority, turn });
         }
-        // With no connection at all nobody would end the wait.
-        let retry = self.full.get().filter(|it| *it > Instant::now() && self.open.get() == 0);
-        let end = retry.map_or(want.until, |it| it.min(want.until));
-        match timeout_at(end, got).await {
+        match timeout_at(want.until, got).await {
             Ok(Ok(it)) => Ok(it),
             Ok(Err(_)) | Err(_) => {
                 self.waiting.borrow_mut().retain(|it| !it.turn.is_closed());
-                if end < want.until { Ok(None) } else { Err(Denied::Busy) }
+                Err(Denied::Busy)
             }
         }
     }
--- a/crates/engine/src/ports.rs
+++ b/crates/engine/src/ports.rs
@@ -11,6 +11,7 @@
     serde::{Deserialize, Serialize},
     snafu::Snafu,
     std::{net::SocketAddrV4, time::Duration},
+    strum::{Display, IntoStaticStr},
 };
 
 /// Bytes that are not a message of the wire.
@@ -80,7 +81,7 @@
 }
 
 /// Collections in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, strum::Display, strum::IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Collection {
     /// The configuration.
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -5,11 +5,12 @@
         channel::{Channel, Sending, What},
         group::{Group, Upstream, give_direct},
         instance::Instance,
-        model::{Order, TxnState},
+        model::{Order, Status, TxnState},
         peer::{Ask, Message, Run, Sent, Told, decode, halves},
         pool::{Denied, Want},
         ports::{Forward, Text},
         settings::ASK_WAIT,
+        spread,
     },
     futures::StreamExt,
     pondtrack_proto::Name,
@@ -51,6 +52,9 @@
                 tokio::task::spawn_local(answer(inst.clone(), streams.clone(), out.clone(), id, ask));
             }
             Some(Message::Drop { stream }) => drop(take(&streams, stream)),
+            Some(Message::Beat(it)) => {
+                tokio::task::spawn_local(spread::heard(inst.clone(), it));
+            }
             Some(Message::Ping) => {
                 out.send(Message::Pong).ok();
             }
@@ -64,7 +68,8 @@
 async fn answer(inst: Rc<Instance>, streams: Streams, out: UnboundedSender<Message>, id: u64, ask: Ask) {
     let told = match ask {
         Ask::Run(it) => run(&inst, &streams, &out, *it).await,
-        Ask::Order { server, order } => Told::Status(order_server(&inst, &server, &order).await),
+        Ask::Fetch(what) => spread::tell(&inst, what),
+        Ask::Order { server, order } => order_server(&inst, &server, &order).await,
     };
     // The link may have closed meanwhile; its other side knows.
     out.send(Message::Told { id, told }).ok();
@@ -98,10 +103,10 @@
             let want = Want { priority: it.priority, until, values: None };
             match up.pool.lend(inst, &up.entry(), want).await {
                 Ok(lease) => Channel::Direct(lease),
-                Err(Denied::Busy) => return Told::Busy,
+                Err(Denied::Busy | Denied::Full) => return Told::Busy,
                 Err(Denied::Unreachable(e)) => {
                     up.failed(inst.now(), e.is_refusal());
-                    return Told::NotSent(e.to_string());
+                    return if e.is_refusal() { Told::Gone } else { Told::NotSent(e.to_string()) };
                 }
             }
         }
@@ -147,15 +152,22 @@
     Told::Answer(answer)
 }
 
-async fn order_server(inst: &Rc<Instance>, server: &Name, order: &Order) -> Option<crate::model::Status> {
-    let (group, up) = find(inst, server)?;
-    if !up.is_reachable() {
-        return None;
-    }
-    if *order != Order::Status {
-        return give_direct(inst, &group, &up, order).await;
+async fn order_server(inst: &Rc<Instance>, server: &Name, order: &Order) -> Told {
+    let Some((group, up)) = find(inst, server).filter(|it| it.1.is_reachable()) else {
+        return Told::Status(None);
+    };
+    let status = match order {
+        Order::Status => shared_status(inst, &group, &up).await,
+        _ => give_direct(inst, &group, &up, order).await,
+    };
+    match status {
+        None if up.refused().is_some() => Told::Gone,
+        status => Told::Status(status),
     }
-    // Those who ask at the same time share one question.
+}
+
+/// A server's account of itself; those who ask at the same time share one question.
+async fn shared_status(inst: &Instance, group: &Group, up: &Upstream) -> Option<Status> {
     let since = inst.now();
     up.ask_after(since);
     let end = Instant::now() + ASK_WAIT;
@@ -163,11 +175,9 @@
         let changed = group.changed.notified();
         match up.status() {
             Some((sent, status)) if sent >= since => return Some(status),
-            _ if Instant::now() >= end => return None,
-            _ => {
-                // At its end the loop looks once more.
-                let _ = timeout(ASK_WAIT, changed).await;
-            }
+            _ if Instant::now() >= end || up.refused().is_some_and(|at| at >= since) => return None,
+            // At its end the loop looks once more.
+            _ => drop(timeout(ASK_WAIT, changed).await),
         }
     }
 }
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -29,15 +29,16 @@
 pub const FULL_PAUSE: Duration = Duration::from_millis(1_000);
 /// After a server couldn't be reached, it gets no statements for this long.
 pub const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
-/// Connections of a server that no instance counts on, of each ten: room for restarts and newcomers.
-pub const SPARE_TENTH: usize = 1;
+/// The part of a server's connections that the instances count on, in tenths. A server keeps connections
+/// of instances that lost power for three seconds; the rest lets these come back at once.
+pub const SHARED_TENTHS: usize = 5;
 /// Connections above its share that an instance opens when callers wait.
-pub const EXTRA_CONNS: usize = 2;
+pub const EXTRA_CONNS: usize = 3;
 /// Connections above the share are closed when they are idle for this long.
-pub const EXTRA_IDLE: Duration = Duration::from_secs(4);
-/// Evidence of a group's state is renewed at the next read when it is older than this. The shortest
-/// age that routes allow is 1,500 ms, and a renewal takes a few milliseconds.
-pub const EVIDENCE_AGE: Duration = Duration::from_millis(600);
+pub const EXTRA_IDLE: Duration = Duration::from_millis(1_500);
+/// Evidence of a group's state is renewed at the next read when it is older than this part of the age
+/// that the route allows, in percent. A renewal takes a few milliseconds; the rest is for its repetition.
+pub const EVIDENCE_PERCENT: u64 = 65;
 /// Taken off the age that a route allows, for what happens between the choice and the read.
 pub const AGE_MARGIN: Duration = Duration::from_millis(100);
 /// Between two questions to a replica that has not received a commit yet; a crossing of zones.
--- /dev/null
+++ b/crates/engine/src/spread.rs
@@ -0,0 +1,152 @@
+//! How the configuration and the directory reach instances that don't watch the store.
+//!
+//! A few instances of each availability zone watch the store. They tell all others regularly which revisions
+//! they know; whoever knows an older one fetches the newer from them. An instance that hears of nobody who
+//! watches does so itself.
+
+use {
+    crate::{
+        instance::{Instance, Micros, micros},
+        peer::{Ask, Beat, Message, Peer, Told},
+        ports::Collection,
+    },
+    pondtrack_core::place,
+    pondtrack_proto::Name,
+    std::{cell::Cell, rc::Rc, time::Duration},
+    tokio::{
+        sync::Notify,
+        time::{sleep, timeout},
+    },
+};
+
+/// Between two beats of an instance that watches.
+const BEAT: Duration = Duration::from_millis(800);
+/// Without a beat for this long an instance watches the store itself; three beats, and within the
+/// 3,000 ms in which a change has to be in force.
+const LOST: Duration = Duration::from_millis(2_400);
+/// Instances of a zone for each that watches; there is one at least.
+const WATCHERS_PER: usize = 16;
+/// Time to fetch what is newer.
+const FETCH_LIMIT: Duration = Duration::from_millis(800);
+/// Pause between two rounds of beats that are caused by changes.
+const ROUND_PAUSE: Duration = Duration::from_millis(20);
+
+/// How the configuration and the directory come here.
+#[derive(Default)]
+pub struct Spread {
+    /// Woken when there is something new to tell.
+    pub tell: Notify,
+    /// When an instance that watches was last heard.
+    heard: Cell<Micros>,
+    /// Whether the last calls for the configuration and for the directory had a result.
+    watched: Cell<(bool, bool)>,
+    fetching: Cell<bool>,
+}
+
+impl Spread {
+    /// Whether this instance is one of those that watch the store for all.
+    pub fn is_watcher(&self, inst: &Instance) -> bool {
+        let Some(peers) = inst.peers() else { return true };
+        let own = &inst.settings;
+        let zone: Vec<&Name> = peers.iter().filter(|it| it.zone == own.zone).map(|it| &it.name).collect();
+        let mine = place::weight("watch", &own.name);
+        let before = zone.iter().filter(|it| place::weight("watch", it) > mine).count();
+        before < 1 + zone.len() / WATCHERS_PER
+    }
+
+    /// Whether this instance has to watch the store.
+    pub fn must_watch(&self, inst: &Instance) -> bool {
+        let silent = inst.now().saturating_sub(self.heard.get());
+        self.heard.get() == 0 || silent >= micros(LOST) || self.is_watcher(inst)
+    }
+
+    /// A call for a collection had, or had no, result.
+    pub fn watched(&self, what: Collection, ok: bool) {
+        let (desired, servers) = self.watched.get();
+        self.watched.set(match what {
+            Collection::Desired => (ok, servers),
+            _ => (desired, ok),
+        });
+    }
+
+    fn beat(&self, inst: &Instance) -> Option<Beat> {
+        let (desired, directory) = (inst.revision(Collection::Desired)?, inst.revision(Collection::Servers)?);
+        let version = inst.desired()?.version;
+        let watching = self.watched.get() == (true, true) && self.is_watcher(inst);
+        let leaving = inst.leaving().is_some();
+        let from = inst.settings.name.clone();
+        (watching && !leaving).then_some(Beat { from, version, desired, directory })
+    }
+}
+
+/// Tells all others what is known here while this instance watches, for good.
+pub async fn run(inst: Rc<Instance>) {
+    loop {
+        // New or not, something is told at the next beat.
+        let _ = timeout(BEAT, inst.spread.tell.notified()).await;
+        let (Some(beat), Some(peers)) = (inst.spread.beat(&inst), inst.peers()) else {
+            continue;
+        };
+        for peer in peers {
+            tokio::task::spawn_local(send(inst.clone(), peer, beat.clone()));
+        }
+        sleep(ROUND_PAUSE).await;
+    }
+}
+
+async fn send(inst: Rc<Instance>, peer: Rc<Peer>, beat: Beat) {
+    if !peer.is_usable(inst.now()) {
+        return;
+    }
+    if let Some(link) = peer.link(&inst).await {
+        link.tell(Message::Beat(beat));
+    }
+}
+
+/// An instance that watches the store tells what it knows.
+pub async fn heard(inst: Rc<Instance>, beat: Beat) {
+    let spread = &inst.spread;
+    spread.heard.set(inst.now());
+    let newer = |known: Option<u64>, told: u64| known.is_none_or(|it| it < told);
+    let version = inst.desired().map(|it| it.version);
+    let wants = [
+        newer(version, beat.version).then_some(Collection::Desired),
+        newer(inst.revision(Collection::Servers), beat.directory).then_some(Collection::Servers),
+    ];
+    if wants.iter().all(Option::is_none) || spread.fetching.replace(true) {
+        return;
+    }
+    if let Some(peer) = inst.peer(&beat.from) {
+        for what in wants.into_iter().flatten() {
+            fetch(&inst, &peer, what).await;
+        }
+    }
+    inst.spread.fetching.set(false);
+}
+
+async fn fetch(inst: &Rc<Instance>, peer: &Peer, what: Collection) {
+    match timeout(FETCH_LIMIT, peer.ask(inst, Ask::Fetch(what))).await {
+        Ok(Told::Desired { revision, desired }) => {
+            inst.adopt(*desired, revision);
+        }
+        Ok(Told::Directory { revision, servers }) => {
+            // Meanwhile a newer one may have come.
+            if inst.revision(Collection::Servers).is_none_or(|it| it < revision) {
+                inst.set_directory(servers, revision);
+            }
+        }
+        other => log::debug!(peer = peer.name.as_str(), collection:% = what; "not fetched: {other:?}"),
+    }
+}
+
+/// What is known of a collection here, for another instance.
+pub fn tell(inst: &Instance, what: Collection) -> Told {
+    let known = match what {
+        Collection::Desired => inst
+            .desired()
+            .zip(inst.revision(what))
+            .map(|(desired, revision)| Told::Desired { revision, desired: Box::new((*desired).clone()) }),
+        _ => inst.revision(what).map(|revision| Told::Directory { revision, servers: inst.directory() }),
+    };
+    known.unwrap_or_else(|| Told::NotSent("not known here".to_owned()))
+}
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -257,14 +257,14 @@
     pub async fn reach(&self, session: &Session, up: &Rc<Upstream>, until: Instant) -> Result<Channel, Miss> {
         let until = until.min(self.end);
         if !up.is_reachable() {
-            let found = up.relay(&self.inst, self.route.priority, until).await;
-            return found.map(Channel::Relayed).ok_or(Miss::Again);
+            return self.relay(up, until).await;
         }
         let want = Want { priority: self.route.priority, until, values: Some(session.values.clone()) };
         match up.pool.lend(&self.inst, &up.entry(), want).await {
             Ok(it) => Ok(Channel::Direct(it)),
             Err(Denied::Busy) if Instant::now() >= self.end => Err(Miss::Late("no connection is free")),
             Err(Denied::Busy) => Err(Miss::Again),
+            Err(Denied::Full) => self.relay(up, until).await,
             Err(Denied::Unreachable(e)) => {
                 if self.inst.may_log() {
                     log::info!(server = up.entry().id.as_str(); "{e}");
@@ -275,6 +275,11 @@
         }
     }
 
+    async fn relay(&self, up: &Upstream, until: Instant) -> Result<Channel, Miss> {
+        let found = up.relay(&self.inst, self.route.priority, until).await;
+        found.map(Channel::Relayed).ok_or(Miss::Again)
+    }
+
     /// The statement with all that goes along.
     pub fn parcel(&self, session: &Session, after: Option<Mark>) -> Parcel {
         let text = match &self.it.verb {
@@ -360,7 +365,7 @@
                 Err(e) => {
                     up.missed(&e, channel.via(), sent, self.inst.now());
                     match e {
-                        RunError::NotSent { .. } | RunError::Busy => {
+                        RunError::NotSent { .. } | RunError::Busy | RunError::Gone => {
                             self.pause(&mut backoff).await;
                             continue;
                         }
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -24,9 +24,9 @@
 /// Between two looks at the groups.
 const LOOK: Duration = Duration::from_millis(100);
 /// A primary that wasn't heard for this long is asked.
-const ASK_PRIMARY: Duration = Duration::from_millis(250);
-/// The same for replicas.
-const ASK_REPLICA: Duration = Duration::from_millis(500);
+const ASK_PRIMARY: Duration = Duration::from_millis(300);
+/// The same for replicas, whose logs are compared with the primary's.
+const ASK_REPLICA: Duration = Duration::from_millis(1_000);
 /// Silence after which a primary is given up: an answer may take 400 ms behind long statements.
 const SILENCE: Duration = Duration::from_millis(500);
 /// The same when its address refuses connections: the process is gone.
@@ -159,9 +159,14 @@
 fn ask(group: &Group, now: Micros) {
     let primary = group.primary().map(|it| it.index);
     for it in group.servers() {
-        let age = if primary == Some(it.index) { ASK_PRIMARY } else { ASK_REPLICA };
+        let (age, known) = match primary == Some(it.index) {
+            // Any answer shows that it is there; how far its log goes is wanted more rarely.
+            true => (ASK_PRIMARY, Some(it.heard())),
+            false => (ASK_REPLICA, it.status().map(|it| it.0)),
+        };
         let limit = now.saturating_sub(micros(age));
-        if it.status().is_none_or(|it| it.0 < limit) {
+        let stated = it.status().is_some_and(|it| it.0 >= now.saturating_sub(micros(ASK_REPLICA)));
+        if !stated || known.is_none_or(|at| at < limit) {
             it.ask_after(limit);
         }
     }
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -146,10 +146,9 @@
         };
         tried.push(up.index);
         let mut channel = self.reach(session, &up, self.end).await.map_err(Miss::refusal)?;
-        let what = What::Order(&Order::Begin(access), need.mark);
-        let sending = Sending { values: Some(&session.values), named: None, what, end: self.end };
+        let parcel = self.parcel(session, need.mark);
         let sent = self.inst.now();
-        let answer = match channel.run(&self.inst, sending).await {
+        let answer = match parcel.run(&self.inst, &up, &mut channel).await {
             Ok(it) => it,
             Err(e) => {
                 up.missed(&e, channel.via(), sent, self.inst.now());
--- a/crates/pondtrackd/src/hosted.rs
+++ b/crates/pondtrackd/src/hosted.rs
@@ -9,7 +9,7 @@
         instance::Instance,
         lease,
         ports::{Collection, Edge},
-        relay, session, settings, takeover,
+        relay, report, session, settings, spread, takeover,
     },
     pondtrack_platform::{
         Boot, Lines, ObjectStore, Orders,
@@ -128,6 +128,8 @@
     tokio::task::spawn_local(feed::follow(inst.clone(), Collection::Servers));
     tokio::task::spawn_local(feed::enlist(inst.clone()));
     tokio::task::spawn_local(feed::sweep(inst.clone()));
+    tokio::task::spawn_local(spread::run(inst.clone()));
+    tokio::task::spawn_local(report::run(inst.clone()));
     tokio::task::spawn_local(takeover::watch(inst.clone()));
     let lease = tokio::task::spawn_local(lease::keep(inst.clone()));
     let accepting = tokio::task::spawn_local(session::accept(inst.clone(), callers));
@@ -140,6 +142,7 @@
     if timeout(FAREWELL, farewell).await.is_err() {
         log::warn!(step = "end"; "what this instance held in the store was not given up in time");
     }
+    report::line(&inst);
     log::info!(instance = boot.name.as_str(), sessions = inst.sessions.get(); "down");
     Ok(())
 }
