Turns: what waits for a busy server waits here, in order of what it is worth

Cause: with both replicas of a group far behind all its reads go to the primary (150 requests/s of 24 ms on three slots); instances filled the server's queue, which shed 4 of 10 arrivals and served the rest late. Change: a limit of one to four statements an instance and server, learned from slow and refused ones; of those that wait transactions go first, then priority, those still in time, the shorter work.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -15,6 +15,22 @@
 /// What the primary costs on top, as it alone takes writes.
 const PRIMARY: u64 = 15_000;
 
+/// A moving average.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Average(f64);
+
+impl Average {
+    /// One more observation, in microseconds.
+    pub fn observe(&mut self, took: Time) {
+        self.0 = if self.0 == 0.0 { took as f64 } else { self.0 + WEIGHT * (took as f64 - self.0) };
+    }
+
+    /// The average, in microseconds.
+    pub fn get(self) -> Time {
+        self.0 as Time
+    }
+}
+
 /// How long a server takes for a statement.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Pace {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`balance`] | what a server costs at present |
 //! | [`place`] | home instances and their shares of connections |
 //! | [`admit`] | queues, fairness and learned limits |
+//! | [`turn`] | who runs next at a server that has too much to do |
 //! | [`retry`] | budgets and backoff |
 //! | [`member`] | probes, suspicion, incarnations |
 //! | [`spread`] | versioned facts, pushes and digests |
@@ -53,6 +54,7 @@
 pub mod switch;
 pub mod timer;
 pub mod token;
+pub mod turn;
 
 /// Milliseconds of a local monotonic clock.
 pub type Time = u64;
--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -4,15 +4,17 @@
 use {
     crate::{
         conn::Values,
-        instance::Instance,
+        instance::{Instance, Micros},
         model::{Answer, Order, TxnState},
         peer::{Ask, Link, Run, Sent, Told},
         pool::Lease,
         ports::{Forward, Text},
         session::Prepared,
         settings::PREPARED_MOST,
+        turnstile::{Permit, Turnstile},
     },
     bytes::BytesMut,
+    pondtrack_core::turn::Rank,
     pondtrack_proto::{Mark, Name},
     snafu::Snafu,
     std::rc::Rc,
@@ -28,6 +30,10 @@
     pub named: Option<&'a Prepared>,
     /// What is sent.
     pub what: What<'a>,
+    /// Its rank among those that wait for a turn; none for orders that don't wait.
+    pub rank: Option<Rank>,
+    /// A statement that takes longer is slow, in microseconds.
+    pub slow: Micros,
     /// When nobody waits any longer.
     pub end: Instant,
 }
@@ -81,19 +87,28 @@
 
 /// A way to a server. Dropped, an open transaction on it is rolled back.
 pub enum Channel {
-    /// A connection of this instance.
-    Direct(Lease),
+    /// A connection of this instance, and a turn for the first statement on it.
+    Direct(Direct),
     /// Another instance's.
     Relayed(Relayed),
 }
 
+/// A connection of this instance.
+pub struct Direct {
+    /// The connection.
+    pub lease: Lease,
+    /// Turns at its server.
+    pub turns: Rc<Turnstile>,
+    /// A turn that was taken before there was a connection.
+    pub permit: Option<Permit>,
+}
+
 /// A stream at another instance.
 pub struct Relayed {
     peer: Name,
     link: Rc<Link>,
     stream: u64,
     server: Name,
-    priority: u8,
     /// When a statement that waits there for a connection is to be given up.
     until: Instant,
     pinned: bool,
@@ -101,12 +116,12 @@
 
 impl Relayed {
     /// A stream over a link; nothing is sent yet.
-    pub fn new(peer: Name, link: Rc<Link>, server: Name, priority: u8, until: Instant) -> Relayed {
+    pub fn new(peer: Name, link: Rc<Link>, server: Name, until: Instant) -> Relayed {
         let stream = link.stream();
-        Relayed { peer, link, stream, server, priority, until, pinned: false }
+        Relayed { peer, link, stream, server, until, pinned: false }
     }
 
-    async fn run(&mut self, it: Sending<'_>) -> Result<Answer, RunError> {
+    async fn run(&mut self, inst: &Instance, it: Sending<'_>) -> Result<Answer, RunError> {
         let left = |until: Instant| until.saturating_duration_since(Instant::now()).as_millis() as u32;
         let what = match it.what {
             What::Forward(Forward { id, text, after }) => {
@@ -121,9 +136,10 @@
             stream: self.stream,
             pinned: self.pinned,
             server: self.server.clone(),
-            priority: self.priority,
+            rank: it.rank.map(|it| Rank { aim: it.aim.saturating_sub(inst.now()), ..it }),
             wait_ms: left(self.until),
             left_ms: left(it.end),
+            slow: it.slow,
             values: it.values.map(|it| it.to_vec()).unwrap_or_default(),
             named: it.named.cloned(),
             what,
@@ -158,8 +174,8 @@
         let end = it.end;
         let work = async {
             match self {
-                Channel::Direct(lease) => run_direct(inst, lease, it).await,
-                Channel::Relayed(relayed) => relayed.run(it).await,
+                Channel::Direct(direct) => direct.run(inst, it).await,
+                Channel::Relayed(relayed) => relayed.run(inst, it).await,
             }
         };
         timeout_at(end, work).await.unwrap_or(Err(RunError::Late))
@@ -176,22 +192,33 @@
     /// Gives the connection back for others; nothing may be open on it.
     pub fn give_back(self) {
         match self {
-            Channel::Direct(lease) => lease.give_back(),
+            Channel::Direct(direct) => direct.lease.give_back(),
             Channel::Relayed(_) => {}
         }
     }
 
     /// Forgets what was prepared: the server doesn't know it any longer.
     pub fn forget_prepared(&mut self) {
-        if let Channel::Direct(lease) = self
-            && let Some(conn) = lease.conn()
+        if let Channel::Direct(direct) = self
+            && let Some(conn) = direct.lease.conn()
         {
             conn.prepared.clear();
         }
     }
 }
 
-async fn run_direct(inst: &Instance, lease: &mut Lease, it: Sending<'_>) -> Result<Answer, RunError> {
+impl Direct {
+    async fn run(&mut self, inst: &Instance, it: Sending<'_>) -> Result<Answer, RunError> {
+        let _permit = match (self.permit.take(), it.rank) {
+            (Some(it), _) => Some(it),
+            (None, Some(rank)) => Some(self.turns.enter(rank, it.end).await.ok_or(RunError::Busy)?),
+            (None, None) => None,
+        };
+        run_on(inst, &mut self.lease, it).await
+    }
+}
+
+async fn run_on(inst: &Instance, lease: &mut Lease, it: Sending<'_>) -> Result<Answer, RunError> {
     if let Some(values) = it.values
         && !align(inst, lease, values, it.named).await
     {
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -16,6 +16,7 @@
             ASK_OTHERS, ASK_WAIT, DRAIN_USE, EVIDENCE_PERCENT, GATE_PAUSE, GATE_PAUSE_MOST, LAG_FACTOR,
             ORDER_LIMIT, PRIMARY_PAUSE, PROBE_PAUSE, RELAY_AFTER, RELAYS, UNFIT_PAUSE, UNREACHABLE_PAUSE,
         },
+        turnstile::Turnstile,
     },
     pondtrack_core::{
         balance::{Lag, Offer, Pace},
@@ -43,6 +44,8 @@
     pub index: usize,
     /// Connections to it.
     pub pool: Rc<Pool>,
+    /// Turns at it.
+    pub turns: Rc<Turnstile>,
     entry: RefCell<Rc<Server>>,
     status: Cell<Option<(Micros, Status)>>,
     pace: Cell<Pace>,
@@ -190,12 +193,12 @@
     }
 
     /// A way through another instance.
-    pub async fn relay(&self, inst: &Rc<Instance>, priority: u8, until: Instant) -> Option<Relayed> {
+    pub async fn relay(&self, inst: &Rc<Instance>, until: Instant) -> Option<Relayed> {
         for _ in 0..RELAYS {
             let peer = self.fit_peer(inst)?;
             if let Some(link) = peer.link(inst).await {
                 let server = self.entry().id.clone();
-                return Some(Relayed::new(peer.name.clone(), link, server, priority, until));
+                return Some(Relayed::new(peer.name.clone(), link, server, until));
             }
         }
         None
@@ -357,6 +360,7 @@
         let it = Rc::new(Upstream {
             index,
             pool: Rc::default(),
+            turns: Turnstile::new(inst.clock),
             entry: RefCell::new(Rc::new(server)),
             status: Cell::default(),
             pace: Cell::default(),
@@ -482,7 +486,7 @@
     fn offer(&self, inst: &Instance, it: &Upstream, now: Micros) -> Offer {
         Offer {
             expected: it.pace.get().expected(now),
-            load: it.pool.load(),
+            load: it.turns.load(),
             far: it.entry().zone != inst.settings.zone,
             primary: self.primary.get() == Some(it.index),
         }
@@ -504,7 +508,7 @@
             .filter(usable)
             .min_by_key(|it| {
                 let again = tried.iter().filter(|n| **n == it.index).count();
-                let rest = (it.avoid.get() > now, !it.pool.is_free());
+                let rest = (it.avoid.get() > now, !it.pool.is_free() || !it.turns.is_free());
                 (it.entry().draining, again, rest, self.offer(inst, it, now).cost())
             })
             .cloned()
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -11,7 +11,7 @@
         settings::{SHARED_TENTHS, Settings},
         spread::Spread,
     },
-    pondtrack_core::place,
+    pondtrack_core::{balance::Average, place},
     pondtrack_proto::Name,
     rand::{RngExt, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -26,6 +26,17 @@
 /// Microseconds of the instance's monotonic clock.
 pub type Micros = u64;
 
+/// The instance's monotonic clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// The time now. It begins above zero, which stands for never.
+    pub fn now(self) -> Micros {
+        1 + micros(self.0.elapsed())
+    }
+}
+
 /// A duration on the instance's clock.
 pub const fn micros(it: Duration) -> Micros {
     it.as_micros() as Micros
@@ -63,7 +74,10 @@
     /// How the configuration and the directory come here.
     pub spread: Spread,
     leaving: Cell<Option<Instant>>,
-    start: Instant,
+    /// The clock.
+    pub clock: Clock,
+    /// How long statements take, by database.
+    costs: RefCell<Vec<(Name, Average)>>,
     rng: RefCell<Pcg64Mcg>,
     /// The right to give orders, while this instance has it.
     pub tenure: Tenure,
@@ -86,16 +100,33 @@
             revisions: Cell::default(),
             spread: Spread::default(),
             leaving: Cell::default(),
-            start: Instant::now(),
+            clock: Clock(Instant::now()),
+            costs: RefCell::default(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::rng().random())),
             tenure: Tenure::default(),
             lines: Cell::default(),
         })
     }
 
-    /// The instance's monotonic clock. It begins above zero, which stands for never.
+    /// The time on the instance's clock.
     pub fn now(&self) -> Micros {
-        1 + self.start.elapsed().as_micros() as Micros
+        self.clock.now()
+    }
+
+    /// How long statements of a database take.
+    pub fn cost(&self, database: &str) -> Micros {
+        let costs = self.costs.borrow();
+        costs.binary_search_by(|it| it.0.as_str().cmp(database)).map_or(0, |at| costs[at].1.get())
+    }
+
+    /// A statement of a database took this long at a server.
+    pub fn spent(&self, database: &Name, took: Micros) {
+        let mut costs = self.costs.borrow_mut();
+        let at = costs.binary_search_by(|it| it.0.cmp(database)).unwrap_or_else(|at| {
+            costs.insert(at, (database.clone(), Average::default()));
+            at
+        });
+        costs[at].1.observe(took);
     }
 
     /// Whether a line about a request may be logged now; lines above the limit are counted instead.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,7 +13,7 @@
 //! | [`feed`] | the configuration and the directory, kept up to date |
 //! | [`spread`] | the same for instances that don't watch the store |
 //! | [`group`] | a group's servers and the evidence about them |
-//! | [`conn`], [`pool`] | connections to servers |
+//! | [`conn`], [`pool`], [`turnstile`] | connections to servers, and turns at them |
 //! | [`channel`] | a way to a server: a connection, or another instance |
 //! | [`peer`], [`relay`] | links between instances, and statements run for others |
 //! | [`session`], [`statement`], [`txn`] | callers |
@@ -38,4 +38,5 @@
 pub mod spread;
 pub mod statement;
 pub mod takeover;
+pub mod turnstile;
 pub mod txn;
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -13,6 +13,7 @@
     },
     bytes::{Bytes, BytesMut},
     futures::StreamExt,
+    pondtrack_core::turn::Rank,
     pondtrack_proto::{Mark, Name},
     serde::{Deserialize, Serialize},
     std::{
@@ -114,8 +115,10 @@
     pub pinned: bool,
     /// The server.
     pub server: Name,
-    /// Rank among statements that wait for a connection.
-    pub priority: u8,
+    /// Its rank among those that wait; its aim counts from now, as clocks are not compared.
+    pub rank: Option<Rank>,
+    /// A statement that takes longer is slow, in microseconds.
+    pub slow: Micros,
     /// How long it may wait for a connection, in milliseconds.
     pub wait_ms: u32,
     /// How long it may take in all, in milliseconds.
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -70,11 +70,6 @@
         self.share.set(share);
     }
 
-    /// Statements that run or wait here.
-    pub fn load(&self) -> usize {
-        self.open.get() - self.idle.borrow().len().min(self.open.get()) + self.waiting.borrow().len()
-    }
-
     /// Whether a connection can be had without a wait.
     pub fn is_free(&self) -> bool {
         !self.idle.borrow().is_empty() || self.may_open()
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        channel::{Channel, Sending, What},
+        channel::{Channel, Direct, Sending, What},
         group::{Group, Upstream, give_direct},
         instance::Instance,
-        model::{Order, Status, TxnState},
+        model::{Code, Order, Status, TxnState},
         peer::{Ask, Message, Run, Sent, Told, decode, halves},
         pool::{Denied, Want},
         ports::{Forward, Text},
@@ -13,6 +13,7 @@
         spread,
     },
     futures::StreamExt,
+    pondtrack_core::turn::Rank,
     pondtrack_proto::Name,
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::{
@@ -92,6 +93,7 @@
     let now = Instant::now();
     let end = now + Duration::from_millis(it.left_ms.into());
     let Some((group, up)) = find(inst, &it.server) else { return Told::NotSent("unknown server".to_owned()) };
+    let rank = it.rank.map(|it| Rank { aim: it.aim + inst.now(), ..it });
     let mut channel = match (it.pinned, take(streams, it.stream)) {
         (true, Some(it)) => it,
         (true, None) => return Told::Broken("the transaction is gone".to_owned()),
@@ -100,9 +102,16 @@
                 return Told::NotSent("the server isn't reachable from here".to_owned());
             }
             let until = (now + Duration::from_millis(it.wait_ms.into())).min(end);
-            let want = Want { priority: it.priority, until, values: None };
+            let permit = match rank {
+                Some(rank) => match up.turns.enter(rank, until).await {
+                    Some(it) => Some(it),
+                    None => return Told::Busy,
+                },
+                None => None,
+            };
+            let want = Want { priority: rank.map_or(0, |it| it.priority), until, values: None };
             match up.pool.lend(inst, &up.entry(), want).await {
-                Ok(lease) => Channel::Direct(lease),
+                Ok(lease) => Channel::Direct(Direct { lease, turns: up.turns.clone(), permit }),
                 Err(Denied::Busy | Denied::Full) => return Told::Busy,
                 Err(Denied::Unreachable(e)) => {
                     up.failed(inst.now(), e.is_refusal());
@@ -123,7 +132,8 @@
         Sent::Order { order, after } => What::Order(order, *after),
     };
     let sent = inst.now();
-    let sending = Sending { values: Some(&values), named: it.named.as_ref(), what, end };
+    let slow = it.slow;
+    let sending = Sending { values: Some(&values), named: it.named.as_ref(), what, rank, slow, end };
     let answer = match channel.run(inst, sending).await {
         Ok(it) => it,
         Err(e) => {
@@ -133,7 +143,11 @@
     };
     let took = inst.now();
     up.answered(took);
+    if answer.code() == Some(Code::Busy) {
+        up.turns.learn(false);
+    }
     if answer.is_done() {
+        up.turns.learn(took - sent <= slow);
         up.took(took - sent, took);
         if let Some(at) = answer.mark {
             group.moved(&up, at, sent);
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -66,6 +66,9 @@
 pub const TRIES: usize = 12;
 /// The share of the objective after which a read without an answer is also sent to another server.
 pub const HEDGE_SHARE: f64 = 0.5;
+/// A statement that takes longer at a server than this share of its route's objective is slow: the server
+/// has a queue. Work alone is a tenth of the objectives that the users name.
+pub const SLOW_SHARE: f64 = 0.25;
 /// When to come back after a refusal, in milliseconds.
 pub const COME_BACK_MS: u64 = 100;
 /// Time until the platform sends no new sessions: two misses of a question each second.
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        channel::{Channel, RunError, Sending, What},
+        channel::{Channel, Direct, RunError, Sending, What},
         conn::Values,
         count::{self, Count},
         group::{Group, Upstream},
@@ -15,11 +15,11 @@
         pool::{Denied, Want},
         ports::{Forward, Text},
         session::{Prepared, Session, text},
-        settings::{AGE_MARGIN, COME_BACK_MS, HEDGE_SHARE, PATIENCE, RETRY_PAUSE, TRIES},
+        settings::{AGE_MARGIN, COME_BACK_MS, HEDGE_SHARE, PATIENCE, RETRY_PAUSE, SLOW_SHARE, TRIES},
     },
     bytes::Bytes,
     futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
-    pondtrack_core::retry::Backoff,
+    pondtrack_core::{retry::Backoff, turn::Rank},
     pondtrack_proto::Mark,
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep_until, timeout, timeout_at},
@@ -67,10 +67,18 @@
     after: Option<Mark>,
     values: Values,
     named: Option<Prepared>,
+    rank: Rank,
+    slow: Micros,
     end: Instant,
 }
 
 impl Parcel {
+    /// The same in an open transaction.
+    pub fn pinned(mut self) -> Parcel {
+        self.rank.pinned = true;
+        self
+    }
+
     /// Runs it; a server that doesn't answer for a while is asked whether it is there.
     pub async fn run(
         &self,
@@ -83,7 +91,14 @@
             None => Text::Plain(&self.text),
         };
         let what = What::Forward(Forward { id: &self.id, text, after: self.after });
-        let sending = Sending { values: Some(&self.values), named: self.named.as_ref(), what, end: self.end };
+        let sending = Sending {
+            values: Some(&self.values),
+            named: self.named.as_ref(),
+            what,
+            rank: Some(self.rank),
+            slow: self.slow,
+            end: self.end,
+        };
         let work = channel.run(inst, sending);
         tokio::pin!(work);
         match timeout(PATIENCE, &mut work).await {
@@ -259,9 +274,12 @@
         if !up.is_reachable() {
             return self.relay(up, until).await;
         }
+        let Some(permit) = up.turns.enter(self.rank(), until).await else {
+            return Err(if Instant::now() >= self.end { Miss::Late("no turn in time") } else { Miss::Again });
+        };
         let want = Want { priority: self.route.priority, until, values: Some(session.values.clone()) };
         match up.pool.lend(&self.inst, &up.entry(), want).await {
-            Ok(it) => Ok(Channel::Direct(it)),
+            Ok(lease) => Ok(Channel::Direct(Direct { lease, turns: up.turns.clone(), permit: Some(permit) })),
             Err(Denied::Busy) if Instant::now() >= self.end => Err(Miss::Late("no connection is free")),
             Err(Denied::Busy) => Err(Miss::Again),
             Err(Denied::Full) => self.relay(up, until).await,
@@ -276,10 +294,19 @@
     }
 
     async fn relay(&self, up: &Upstream, until: Instant) -> Result<Channel, Miss> {
-        let found = up.relay(&self.inst, self.route.priority, until).await;
+        let found = up.relay(&self.inst, until).await;
         found.map(Channel::Relayed).ok_or(Miss::Again)
     }
 
+    fn rank(&self) -> Rank {
+        Rank {
+            pinned: false,
+            priority: self.route.priority,
+            aim: self.since + micros(self.route.objective),
+            cost: self.inst.cost(&self.route.database),
+        }
+    }
+
     /// The statement with all that goes along.
     pub fn parcel(&self, session: &Session, after: Option<Mark>) -> Parcel {
         let text = match &self.it.verb {
@@ -292,6 +319,8 @@
             after,
             values: session.values.clone(),
             named: self.named.clone(),
+            rank: self.rank(),
+            slow: micros(self.route.objective.mul_f64(SLOW_SHARE)),
             end: self.end,
         }
     }
@@ -330,11 +359,16 @@
             None => {
                 self.inst.counters.one(Count::Statements);
                 up.took(now - sent, now);
+                up.turns.learn(now - sent <= micros(self.route.objective.mul_f64(SLOW_SHARE)));
+                self.inst.spent(&self.route.database, now - sent);
                 if let Some(at) = answer.mark {
                     group.moved(up, at, sent);
                 }
             }
-            Some(Code::Busy) => up.busy(now, BUSY_PAUSE),
+            Some(Code::Busy) => {
+                up.busy(now, BUSY_PAUSE);
+                up.turns.learn(false);
+            }
             Some(Code::Lagging) => up.busy(now, BUSY_PAUSE),
             Some(Code::ReadOnly) => group.denied(up, now),
             Some(_) => {}
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -5,7 +5,7 @@
         channel::{Channel, RunError, Sending, What},
         count::Count,
         group::{Group, Upstream},
-        instance::Instance,
+        instance::{Instance, Micros},
         model::{Access, Answer, Code, Order, ReadPolicy, Route, TxnState},
         session::{Session, text},
         settings::{ORDER_LIMIT, RETRY_PAUSE, TRIES},
@@ -90,7 +90,8 @@
         if let Txn::Open(it) = std::mem::replace(self, Txn::None) {
             let OpenTxn { inst, mut channel, .. } = *it;
             let what = What::Order(&Order::Rollback, None);
-            let sending = Sending { values: None, named: None, what, end: Instant::now() + ORDER_LIMIT };
+            let end = Instant::now() + ORDER_LIMIT;
+            let sending = Sending { values: None, named: None, what, rank: None, slow: Micros::MAX, end };
             // Without an answer the connection is closed, which rolls back as well.
             if let Ok(answer) = channel.run(&inst, sending).await
                 && answer.is_done()
@@ -176,7 +177,7 @@
 
     /// Runs a statement of an open transaction.
     pub async fn in_transaction(&self, session: &mut Session, access: Access) -> Answer {
-        let parcel = self.parcel(session, None);
+        let parcel = self.parcel(session, None).pinned();
         let Txn::Open(txn) = &mut session.txn else { return busy("no transaction", TxnState::Idle) };
         let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
         loop {
@@ -221,7 +222,7 @@
             return Answer::error(Code::Aborted, "the transaction had failed", TxnState::Idle);
         }
         let OpenTxn { group, up, mut channel, wrote, .. } = *txn;
-        let parcel = self.parcel(session, None);
+        let parcel = self.parcel(session, None).pinned();
         let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
         loop {
             let sent = self.inst.now();
