Overload: a statement waits for a busy server for two fifths of its time limit, then its caller is told

Cause: what could not be offered in time was held to the route's limit; three such tries take a caller's whole time.

--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -69,6 +69,9 @@
 /// A statement that takes longer at a server than this share of its route's objective is slow: the server
 /// has a queue. Work alone is a tenth of the objectives that the users name.
 pub const SLOW_SHARE: f64 = 0.25;
+/// The share of a route's time limit for which a statement waits for a busy server. Callers try three
+/// times and give up after about three such limits; less than half of that is the most they should wait for nothing.
+pub const HOLD_SHARE: f64 = 0.4;
 /// When to come back after a refusal, in milliseconds.
 pub const COME_BACK_MS: u64 = 100;
 /// Time until the platform sends no new sessions: two misses of a question each second.
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -15,7 +15,9 @@
         pool::{Denied, Want},
         ports::{Forward, Text},
         session::{Prepared, Session, text},
-        settings::{AGE_MARGIN, COME_BACK_MS, HEDGE_SHARE, PATIENCE, RETRY_PAUSE, SLOW_SHARE, TRIES},
+        settings::{
+            AGE_MARGIN, COME_BACK_MS, HEDGE_SHARE, HOLD_SHARE, PATIENCE, RETRY_PAUSE, SLOW_SHARE, TRIES,
+        },
     },
     bytes::Bytes,
     futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
@@ -270,17 +272,21 @@
 
     /// A way to a server.
     pub async fn reach(&self, session: &Session, up: &Rc<Upstream>, until: Instant) -> Result<Channel, Miss> {
-        let until = until.min(self.end);
+        let until = until.min(self.end).min(self.hold());
         if !up.is_reachable() {
             return self.relay(up, until).await;
         }
         let Some(permit) = up.turns.enter(self.rank(), until).await else {
-            return Err(if Instant::now() >= self.end { Miss::Late("no turn in time") } else { Miss::Again });
+            return Err(if Instant::now() >= self.hold() {
+                Miss::Late("too much to do")
+            } else {
+                Miss::Again
+            });
         };
         let want = Want { priority: self.route.priority, until, values: Some(session.values.clone()) };
         match up.pool.lend(&self.inst, &up.entry(), want).await {
             Ok(lease) => Ok(Channel::Direct(Direct { lease, turns: up.turns.clone(), permit: Some(permit) })),
-            Err(Denied::Busy) if Instant::now() >= self.end => Err(Miss::Late("no connection is free")),
+            Err(Denied::Busy) if Instant::now() >= self.hold() => Err(Miss::Late("no connection is free")),
             Err(Denied::Busy) => Err(Miss::Again),
             Err(Denied::Full) => self.relay(up, until).await,
             Err(Denied::Unreachable(e)) => {
@@ -298,6 +304,12 @@
         found.map(Channel::Relayed).ok_or(Miss::Again)
     }
 
+    /// Until when a statement waits for a server that has too much to do; then its caller is told to come
+    /// back.
+    fn hold(&self) -> Instant {
+        self.arrived + self.route.timeout.mul_f64(HOLD_SHARE)
+    }
+
     fn rank(&self) -> Rank {
         Rank {
             pinned: false,
