Changes of primary: all other replicas are stopped, or the primary steps down first

Cause: a replica that had been silent for 1.2 s counted as out and wasn't stopped; it came back, received from the old primary and spoke for it. Ruled out: a late order (one holder, tokens in order). Also: instances answer each other at the address that seeds name, and a start while the store refuses learns from seeds; instances that can't watch say so, so that an outage doesn't make all of them call; heartbeats of 30 s.

--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -28,13 +28,13 @@
 const SWEEP: Duration = Duration::from_millis(500);
 /// Between two heartbeats of an instance. Only shares of connections and ways through others depend on
 /// them, and a dead instance is passed over long before.
-const HEARTBEAT: Duration = Duration::from_millis(12_000);
+const HEARTBEAT: Duration = Duration::from_millis(30_000);
 /// Between two looks at the entries of all instances, which are read at a tenth of the price.
 const LOOK: Duration = Duration::from_millis(3_000);
 /// The same after the start, when the others come up as well.
 const FIRST_LOOK: Duration = Duration::from_millis(1_000);
 /// Looks without a change after which an instance doesn't count: two missed heartbeats and some room.
-const MISSED: u64 = 10;
+const MISSED: u64 = 24;
 
 /// Keeps a collection up to date while this instance has to watch the store itself, for good.
 pub async fn follow(inst: Rc<Instance>, what: Collection) {
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -44,8 +44,12 @@
 /// A link that owes answers and is silent for this long is given up. Statements take up to 300 ms, but a
 /// ping is answered at once.
 const SILENCE: Duration = Duration::from_millis(500);
-/// A peer whose link failed, or that leaves, is passed over for this long.
+/// A peer whose link failed is passed over for this long, doubled each time it fails again.
 const AVOID: Duration = Duration::from_millis(1_000);
+/// The most doublings: its entry stays for a while after it is gone.
+const DOUBLINGS: u32 = 4;
+/// An instance that said that it can't watch the store isn't counted on for this long.
+const BLIND: Duration = Duration::from_millis(2_400);
 
 /// A message between instances.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -88,6 +92,8 @@
     pub desired: u64,
     /// The store's revision of the directory of servers.
     pub directory: u64,
+    /// Whether its calls of the store have results.
+    pub watching: bool,
 }
 
 /// What an instance wants of another.
@@ -192,6 +198,9 @@
     /// Where it answers.
     pub addr: SocketAddrV4,
     avoid: Cell<Micros>,
+    failures: Cell<u32>,
+    /// Until when it counts as unable to watch the store.
+    blind: Cell<Micros>,
     link: RefCell<Option<Rc<Link>>>,
     opening: Mutex<()>,
 }
@@ -199,8 +208,16 @@
 impl Peer {
     /// An instance that was not spoken to yet.
     pub fn new(name: Name, zone: Name, addr: SocketAddrV4) -> Peer {
-        let (avoid, link) = (Cell::default(), RefCell::default());
-        Peer { name, zone, addr, avoid, link, opening: Mutex::default() }
+        Peer {
+            name,
+            zone,
+            addr,
+            avoid: Cell::default(),
+            failures: Cell::default(),
+            blind: Cell::default(),
+            link: RefCell::default(),
+            opening: Mutex::default(),
+        }
     }
 
     /// Whether it may be asked now.
@@ -209,8 +226,19 @@
     }
 
     /// Passes it over for a while.
-    pub fn avoid(&self, now: Micros) {
-        self.avoid.set(now + micros(AVOID));
+    fn avoid(&self, now: Micros) {
+        let failures = self.failures.replace((self.failures.get() + 1).min(DOUBLINGS));
+        self.avoid.set(now + (micros(AVOID) << failures));
+    }
+
+    /// It says whether it can watch the store.
+    pub fn set_watching(&self, watching: bool, now: Micros) {
+        self.blind.set(if watching { 0 } else { now + micros(BLIND) });
+    }
+
+    /// Whether it said lately that it can't watch the store.
+    pub fn is_blind(&self, now: Micros) -> bool {
+        self.blind.get() > now
     }
 
     /// The link to it, opened if there is none.
@@ -223,6 +251,7 @@
         let opened = timeout(OPEN_LIMIT, TcpStream::connect(SocketAddr::V4(self.addr))).await;
         match opened.map_err(|_| io::Error::from(io::ErrorKind::TimedOut)).flatten() {
             Ok(stream) => {
+                self.failures.set(0);
                 let it = Link::start(inst, stream);
                 *self.link.borrow_mut() = Some(it.clone());
                 Some(it)
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -1,8 +1,8 @@
 //! How the configuration and the directory reach instances that don't watch the store.
 //!
 //! A few instances of each availability zone watch the store. They tell all others regularly which revisions
-//! they know; whoever knows an older one fetches the newer from them. An instance that hears of nobody who
-//! watches does so itself.
+//! they know; whoever knows an older one fetches the newer from them. One that is refused by the store says
+//! so, and the next in its zone watches as well. An instance that hears of nobody does so itself.
 
 use {
     crate::{
@@ -12,7 +12,7 @@
     },
     pondtrack_core::place,
     pondtrack_proto::Name,
-    std::{cell::Cell, rc::Rc, time::Duration},
+    std::{cell::Cell, net::SocketAddrV4, rc::Rc, time::Duration},
     tokio::{
         sync::Notify,
         time::{sleep, timeout},
@@ -25,9 +25,11 @@
 /// 3,000 ms in which a change has to be in force.
 const LOST: Duration = Duration::from_millis(2_400);
 /// Instances of a zone for each that watches; there is one at least.
-const WATCHERS_PER: usize = 16;
+const WATCHERS_PER: usize = 32;
 /// Time to fetch what is newer.
 const FETCH_LIMIT: Duration = Duration::from_millis(800);
+/// Between two rounds of questions to the seeds; a store that is well answers sooner.
+const JOIN_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between two rounds of beats that are caused by changes.
 const ROUND_PAUSE: Duration = Duration::from_millis(20);
 
@@ -48,7 +50,9 @@
     pub fn is_watcher(&self, inst: &Instance) -> bool {
         let Some(peers) = inst.peers() else { return true };
         let own = &inst.settings;
-        let zone: Vec<&Name> = peers.iter().filter(|it| it.zone == own.zone).map(|it| &it.name).collect();
+        let now = inst.now();
+        let counts = |it: &&Rc<Peer>| it.zone == own.zone && !it.is_blind(now);
+        let zone: Vec<&Name> = peers.iter().filter(counts).map(|it| &it.name).collect();
         let mine = place::weight("watch", &own.name);
         let before = zone.iter().filter(|it| place::weight("watch", it) > mine).count();
         before < 1 + zone.len() / WATCHERS_PER
@@ -72,10 +76,10 @@
     fn beat(&self, inst: &Instance) -> Option<Beat> {
         let (desired, directory) = (inst.revision(Collection::Desired)?, inst.revision(Collection::Servers)?);
         let version = inst.desired()?.version;
-        let watching = self.watched.get() == (true, true) && self.is_watcher(inst);
-        let leaving = inst.leaving().is_some();
+        let watching = self.watched.get() == (true, true);
         let from = inst.settings.name.clone();
-        (watching && !leaving).then_some(Beat { from, version, desired, directory })
+        let tells = self.is_watcher(inst) && inst.leaving().is_none();
+        tells.then_some(Beat { from, version, desired, directory, watching })
     }
 }
 
@@ -106,7 +110,12 @@
 /// An instance that watches the store tells what it knows.
 pub async fn heard(inst: Rc<Instance>, beat: Beat) {
     let spread = &inst.spread;
-    spread.heard.set(inst.now());
+    let now = inst.now();
+    spread.heard.set(now);
+    let peer = inst.peer(&beat.from);
+    if let Some(it) = &peer {
+        it.set_watching(beat.watching, now);
+    }
     let newer = |known: Option<u64>, told: u64| known.is_none_or(|it| it < told);
     let version = inst.desired().map(|it| it.version);
     let wants = [
@@ -116,7 +125,7 @@
     if wants.iter().all(Option::is_none) || spread.fetching.replace(true) {
         return;
     }
-    if let Some(peer) = inst.peer(&beat.from) {
+    if let Some(peer) = peer {
         for what in wants.into_iter().flatten() {
             fetch(&inst, &peer, what).await;
         }
@@ -124,6 +133,23 @@
     inst.spread.fetching.set(false);
 }
 
+/// Learns from other instances what the store doesn't tell at the start, until this instance is ready.
+pub async fn join(inst: Rc<Instance>, seeds: Vec<SocketAddrV4>) {
+    let others = seeds.into_iter().filter(|it| *it != inst.settings.peer_addr);
+    let peers: Vec<Peer> = others.map(|it| Peer::new(Name::from(it.to_string()), Name::new(), it)).collect();
+    loop {
+        sleep(JOIN_PAUSE).await;
+        for peer in &peers {
+            if inst.is_ready() {
+                return;
+            }
+            for what in [Collection::Desired, Collection::Servers] {
+                fetch(&inst, peer, what).await;
+            }
+        }
+    }
+}
+
 async fn fetch(inst: &Rc<Instance>, peer: &Peer, what: Collection) {
     match timeout(FETCH_LIMIT, peer.ask(inst, Ask::Fetch(what))).await {
         Ok(Told::Desired { revision, desired }) => {
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -4,7 +4,8 @@
 //! with the longest log as the next primary and stops all other replicas from receiving. From then on a
 //! commit of the old primary can only be acknowledged with the chosen replica's word, and a read of the
 //! old primary only be confirmed by it; both end the moment it becomes the primary. So nothing that was
-//! acknowledged is lost, and the old primary needn't be reached.
+//! acknowledged is lost, and the old primary needn't be reached. Where a replica can't be stopped, the old
+//! primary has to step down before another is promoted; where neither can be had, nobody is.
 
 use {
     crate::{
@@ -43,9 +44,6 @@
 const COOLDOWN: Duration = Duration::from_millis(300);
 /// Most orders in one change.
 const ORDERS: usize = 3;
-/// A replica that was silent for this long, beside a silent primary, can't have either's word.
-const GIVEN_UP: Duration = Duration::from_millis(1_200);
-
 /// Why a primary is replaced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -236,7 +234,7 @@
         // The longest log first; of equal ones a server that stays.
         known.sort_by_key(|it| (std::cmp::Reverse(it.1.received), it.0.entry().draining));
         let Some(target) = known.first().map(|it| it.0.clone()) else { return Err("no replica answers") };
-        let target = self.stop_others(&others, &target).await?;
+        let target = self.stop_others(&others, &target, old.as_deref()).await?;
         let led = self.promote(&target).await;
         self.clean(&others, old.as_deref(), &target).await;
         led.map(|()| target.entry().id.clone())
@@ -263,20 +261,22 @@
         }
     }
 
-    /// Stops every replica but the next primary from receiving. Hands back the next primary: another one
-    /// if a stopped replica turns out to have a longer log.
+    /// Stops every replica but the next primary from receiving; where one can't be reached, the old primary
+    /// has to step down instead. Hands back the next primary: another one if a stopped replica turns out to
+    /// have a longer log.
     async fn stop_others(
         &self,
         others: &[Rc<Upstream>],
         target: &Rc<Upstream>,
+        old: Option<&Upstream>,
     ) -> Result<Rc<Upstream>, Failed> {
         let next = Term(self.term.0 + 1);
         let rest: Vec<&Rc<Upstream>> = others.iter().filter(|it| it.index != target.index).collect();
         let answers = join_all(rest.iter().map(|it| self.give(it, Order::Pause(next)))).await;
-        let reachable = rest.iter().zip(&answers).all(|(it, status)| status.is_some() || self.is_out(it));
-        if !reachable {
+        // A replica that isn't stopped may come back at any time and speak for the old primary.
+        if answers.iter().any(Option::is_none) && !self.step_down(old, next).await {
             self.resume(&rest).await;
-            return Err("a replica can't be stopped");
+            return Err("neither all replicas nor the primary can be stopped");
         }
         let stopped =
             rest.iter().zip(&answers).filter_map(|(it, status)| Some((*it, status.as_ref()?.received)));
@@ -292,11 +292,12 @@
         }
     }
 
-    /// Whether a replica that can't be stopped can't speak for the old primary either.
-    fn is_out(&self, it: &Upstream) -> bool {
-        let now = self.inst.now();
-        let long = |since: Option<Micros>| since.is_some_and(|at| now.saturating_sub(at) >= micros(GIVEN_UP));
-        it.refused().is_some() || long(it.silent())
+    /// Makes the old primary a replica. False if it doesn't say that it is one.
+    async fn step_down(&self, old: Option<&Upstream>, next: Term) -> bool {
+        match old {
+            Some(it) => self.give(it, Order::StepDown(next)).await.is_some_and(|it| it.role == Role::Replica),
+            None => false,
+        }
     }
 
     async fn promote(&self, target: &Upstream) -> Result<(), Failed> {
--- a/crates/pondtrackd/src/hosted.rs
+++ b/crates/pondtrackd/src/hosted.rs
@@ -115,7 +115,7 @@
     let own = settings::Settings {
         name: boot.name.clone(),
         zone: boot.zone.clone(),
-        peer_addr: SocketAddrV4::new(*boot.listen.callers.ip(), boot.peer_ports.0),
+        peer_addr: boot.peer_addr(),
         grace: boot.bounds.grace,
     };
     let inst = Instance::new(own, edge);
@@ -129,6 +129,7 @@
     tokio::task::spawn_local(feed::enlist(inst.clone()));
     tokio::task::spawn_local(feed::sweep(inst.clone()));
     tokio::task::spawn_local(spread::run(inst.clone()));
+    tokio::task::spawn_local(spread::join(inst.clone(), boot.seeds.clone()));
     tokio::task::spawn_local(report::run(inst.clone()));
     tokio::task::spawn_local(takeover::watch(inst.clone()));
     let lease = tokio::task::spawn_local(lease::keep(inst.clone()));
--- a/crates/pondtrackd/tests/reference.rs
+++ b/crates/pondtrackd/tests/reference.rs
@@ -42,3 +42,11 @@
         assert!(page.contains(part), "{part} is missing");
     }
 }
+
+#[test]
+fn the_operations_page_names_every_counter_of_the_engine() {
+    let page = include_str!("../../../docs/OPERATIONS.md");
+    for it in pondtrack_engine::count::Count::iter() {
+        assert!(page.contains(&format!("_{it}_total")), "{it} is missing in docs/OPERATIONS.md");
+    }
+}
