--- /dev/null
+++ b/crates/core/tests/balance.rs
@@ -0,0 +1,51 @@
+//! What servers cost, and how far replicas are behind.
+
+use pondtrack_core::balance::{Average, Lag, Offer, Pace};
+
+const MS: u64 = 1_000;
+
+#[test]
+fn a_replica_that_lacked_a_position_is_not_asked_again_for_one_as_young() {
+    let mut it = Lag::default();
+    it.stated(0);
+    it.lacked(900 * MS);
+    assert!(it.get() > 900 * MS);
+    // Having an older one doesn't show that it has caught up.
+    for _ in 0..20 {
+        it.reached(5_000 * MS);
+    }
+    assert!(it.get() > 900 * MS, "{}", it.get());
+}
+
+#[test]
+fn a_replica_that_has_caught_up_is_found_out() {
+    let mut it = Lag::default();
+    it.lacked(900 * MS);
+    for _ in 0..40 {
+        it.reached(50 * MS);
+    }
+    assert!(it.get() < 100 * MS, "{}", it.get());
+}
+
+#[test]
+fn a_slow_server_is_tried_again_after_a_while() {
+    let mut it = Pace::default();
+    it.observe(400 * MS, 0);
+    assert!(it.expected(100 * MS) > 300.0 * MS as f64);
+    assert!(it.expected(10_000 * MS) < 10.0 * MS as f64);
+}
+
+#[test]
+fn near_and_idle_replicas_come_first() {
+    let it = Offer { expected: 0.0, load: 0, far: false, primary: false };
+    assert!(it.cost() < Offer { far: true, ..it }.cost());
+    assert!(it.cost() < Offer { load: 1, ..it }.cost());
+    assert!(Offer { far: true, ..it }.cost() < Offer { primary: true, ..it }.cost());
+}
+
+#[test]
+fn an_average_begins_with_its_first_value() {
+    let mut it = Average::default();
+    it.observe(30 * MS);
+    assert_eq!(it.get(), 30 * MS);
+}
--- a/crates/engine/src/count.rs
+++ b/crates/engine/src/count.rs
@@ -21,6 +21,10 @@
     Retries,
     /// Reads sent to a second server as the first was slow.
     Hedges,
+    /// Statements that a server refused for its load.
+    ServerBusy,
+    /// Statements that a server refused as its log lacked their position.
+    ServerLagging,
     /// Statements answered as not run.
     NotRun,
     /// Statements answered as unknown.
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -70,6 +70,8 @@
     gone: Cell<bool>,
     /// When it was last asked.
     asked: Cell<Micros>,
+    /// When a question was sent over a connection of this instance that has no answer yet.
+    sent: Cell<Option<Micros>>,
     nudge: Notify,
 }
 
@@ -99,6 +101,20 @@
         self.refused.get()
     }
 
+    /// What is known of it, for a log line.
+    pub fn account(&self, now: Micros) -> String {
+        let role = self.status.get().map_or("unknown", |it| it.1.role.into());
+        let took_ms = self.pace.get().expected(now) as u64 / 1_000;
+        let lag_ms = self.lag.get().get() / 1_000;
+        let reach = match (self.home.get(), self.direct.get()) {
+            (true, true) => "direct",
+            (true, false) => "lost",
+            (false, _) => "relayed",
+        };
+        let id = self.entry().id.clone();
+        format!("{id} {role} {reach} took_ms={took_ms} lag_ms={lag_ms} {}", self.turns.account())
+    }
+
     /// Whether new work may go to it: not for long after it said that it leaves.
     pub fn takes_work(&self, now: Micros) -> bool {
         let limit = micros(DRAIN_USE);
@@ -378,6 +394,7 @@
             missing: Cell::default(),
             gone: Cell::default(),
             asked: Cell::default(),
+            sent: Cell::default(),
             nudge: Notify::new(),
         });
         self.servers.borrow_mut().push(it.clone());
@@ -653,6 +670,8 @@
         it.probe(inst, group);
         return give_through(inst, group, it, order).await;
     }
+    // Whoever gave up on an earlier question didn't take this away.
+    it.sent.set(None);
     let direct = give_direct(inst, group, it, order);
     tokio::pin!(direct);
     if let Ok(answer) = timeout(RELAY_AFTER, &mut direct).await {
@@ -666,8 +685,11 @@
         biased;
         Some(status) = &mut direct => Some(status),
         Some(status) = give_through(inst, group, it, order) => {
-            log::info!(server = it.entry().id.as_str(); "reached through other instances only");
-            it.direct.set(false);
+            // A question that still waits here for a connection shows nothing.
+            if it.sent.get().is_some_and(|at| inst.now() - at >= micros(RELAY_AFTER)) {
+                log::info!(server = it.entry().id.as_str(); "reached through other instances only");
+                it.direct.set(false);
+            }
             Some(status)
         }
         else => None,
@@ -715,7 +737,10 @@
     inst.counters.one(Count::Orders);
     let dialect = inst.edge.dialect.as_ref();
     it.asked.set(sent);
-    let answer = match timeout(ORDER_LIMIT, lease.conn()?.order(dialect, order)).await {
+    it.sent.set(Some(sent));
+    let answer = timeout(ORDER_LIMIT, lease.conn()?.order(dialect, order)).await;
+    it.sent.set(None);
+    let answer = match answer {
         Ok(Ok(it)) => it,
         Ok(Err(e)) => {
             log::debug!(server = server.id.as_str(); "{e}");
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -8,7 +8,7 @@
         model::{Desired, Server},
         peer::Peer,
         ports::{Collection, Edge},
-        settings::{SHARED_TENTHS, Settings},
+        settings::{MOST_TENTHS, SHARED_TENTHS, Settings},
         spread::Spread,
     },
     pondtrack_core::{balance::Average, place},
@@ -277,7 +277,7 @@
                 match &peers {
                     Some(peers) => self.share(&it, conns, peers),
                     // Until the others are known, as little as possible.
-                    None => it.pool.set_share(1),
+                    None => it.pool.set_share(1, 2),
                 }
             }
         }
@@ -289,17 +289,19 @@
         let all = peers.iter().map(|it| (&it.name, &it.zone)).chain([me]);
         let n = place::spread(conns, peers.len() + 1);
         let share = (conns * SHARED_TENTHS / 10 / n).max(1);
+        let most = (conns * MOST_TENTHS / 10 / n).max(share);
         if n > peers.len() {
             // Each its own home; others are only gone through in need, each by another.
             let subject = format!("{} {}", entry.id, self.settings.name);
             let mut ranked = place::rank(&subject, &entry.zone, all);
             ranked.retain(|it| *it != self.settings.name);
-            up.pool.set_share(share);
+            up.pool.set_share(share, most);
             return up.place(true, ranked);
         }
         let mut ranked = place::rank(&entry.id, &entry.zone, all);
         let mine = ranked.iter().position(|it| *it == self.settings.name).is_some_and(|at| at < n);
-        up.pool.set_share(if mine { share } else { 0 });
+        // One that is no home may still be asked by another that can't reach any.
+        up.pool.set_share(if mine { share } else { 0 }, if mine { most } else { 1 });
         // Homes share the work of those that are none.
         ranked[..n].rotate_left(place::weight(&entry.id, &self.settings.name) as usize % n);
         ranked.retain(|it| *it != self.settings.name);
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -9,7 +9,7 @@
         count::Count,
         instance::Instance,
         model::{Code, Server},
-        settings::{EXTRA_CONNS, EXTRA_IDLE, FULL_PAUSE},
+        settings::{EXTRA_IDLE, FULL_PAUSE},
     },
     std::{
         cell::{Cell, RefCell},
@@ -61,13 +61,15 @@
     waiting: RefCell<Vec<Waiter>>,
     open: Cell<usize>,
     share: Cell<usize>,
+    most: Cell<usize>,
     full: Cell<Option<Instant>>,
 }
 
 impl Pool {
-    /// Sets the number of connections that this instance may count on.
-    pub fn set_share(&self, share: usize) {
+    /// Sets how many connections this instance keeps, and how many it opens at most when callers wait.
+    pub fn set_share(&self, share: usize, most: usize) {
         self.share.set(share);
+        self.most.set(most);
     }
 
     /// Whether a connection can be had without a wait.
@@ -120,7 +122,7 @@
     }
 
     fn may_open(&self) -> bool {
-        !self.is_full() && self.open.get() < self.share.get().max(1) + EXTRA_CONNS
+        !self.is_full() && self.open.get() < self.most.get().max(1)
     }
 
     /// Whether the server has refused a connection just now.
--- a/crates/engine/src/report.rs
+++ b/crates/engine/src/report.rs
@@ -1,4 +1,4 @@
-//! A line now and then that says how much was done.
+//! Lines now and then that say how much was done, and how servers are seen.
 
 use {
     crate::{count::Count, instance::Instance},
@@ -23,4 +23,9 @@
     let counts = Count::iter().map(|it| (it, inst.counters.get(it))).filter(|it| it.1 > 0);
     let text: Vec<String> = counts.map(|(it, n)| format!("{it}={n}")).collect();
     log::info!(sessions = inst.sessions.get(); "counted since the start: {}", text.join(" "));
+    let now = inst.now();
+    for group in inst.groups() {
+        let servers: Vec<String> = group.servers().iter().map(|it| it.account(now)).collect();
+        log::info!(group = group.name.as_str(), term = group.term().0; "servers: {}", servers.join("; "));
+    }
 }
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -32,8 +32,9 @@
 /// The part of a server's connections that the instances count on, in tenths. A server keeps connections
 /// of instances that lost power for three seconds; the rest lets these come back at once.
 pub const SHARED_TENTHS: usize = 5;
-/// Connections above its share that an instance opens when callers wait.
-pub const EXTRA_CONNS: usize = 3;
+/// The part that the instances open at most when callers wait, in tenths: each the same number, so that
+/// none has all of them while others have none.
+pub const MOST_TENTHS: usize = 9;
 /// Connections above the share are closed when they are idle for this long.
 pub const EXTRA_IDLE: Duration = Duration::from_millis(1_500);
 /// Evidence of a group's state is renewed at the next read when it is older than this part of the age
@@ -69,6 +70,8 @@
 /// A statement that takes longer at a server than this share of its route's objective is slow: the server
 /// has a queue. Work alone is a tenth of the objectives that the users name.
 pub const SLOW_SHARE: f64 = 0.25;
+/// What a transaction counts among those that wait to begin, in statements: the users' have up to twelve.
+pub const TXN_STATEMENTS: u64 = 4;
 /// The share of a route's time limit for which a statement waits for a busy server. Callers try three
 /// times and give up after about three such limits; less than half of that is the most they should wait for nothing.
 pub const HOLD_SHARE: f64 = 0.4;
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -17,6 +17,7 @@
         session::{Prepared, Session, text},
         settings::{
             AGE_MARGIN, COME_BACK_MS, HEDGE_SHARE, HOLD_SHARE, PATIENCE, RETRY_PAUSE, SLOW_SHARE, TRIES,
+            TXN_STATEMENTS,
         },
     },
     bytes::Bytes,
@@ -56,6 +57,8 @@
     pub up: Rc<Upstream>,
     /// The way to it.
     pub channel: Channel,
+    /// What the read has to show.
+    pub need: Need,
     /// When it was sent.
     pub sent: Micros,
     /// The answer.
@@ -126,6 +129,21 @@
     pub since: Micros,
 }
 
+impl Need {
+    /// Learns from an answer how far a server is behind.
+    pub fn learn(&self, up: &Upstream, answer: &Answer, sent: Micros) {
+        if self.mark.is_none() {
+            return;
+        }
+        let age = sent.saturating_sub(self.since);
+        match answer.code() {
+            None => up.holds(age, true),
+            Some(Code::Lagging) => up.holds(age, false),
+            Some(_) => {}
+        }
+    }
+}
+
 /// Why a statement isn't at a server.
 pub enum Miss {
     /// It couldn't be sent to this one.
@@ -254,7 +272,7 @@
         let sent = inst.now();
         Ok(Box::pin(async move {
             let got = parcel.run(&inst, &up, &mut channel).await;
-            Flight { up, channel, sent, got }
+            Flight { up, channel, need, sent, got }
         }))
     }
 
@@ -311,11 +329,12 @@
     }
 
     fn rank(&self) -> Rank {
+        let statements = if matches!(self.it.verb, Verb::Begin(_)) { TXN_STATEMENTS } else { 1 };
         Rank {
             pinned: false,
             priority: self.route.priority,
             aim: self.since + micros(self.route.objective),
-            cost: self.inst.cost(&self.route.database),
+            cost: self.inst.cost(&self.route.database) * statements,
         }
     }
 
@@ -339,7 +358,7 @@
 
     /// Takes the answer to a read: the answer for the caller, or the error of a try that failed.
     fn landed(&self, group: &Group, flight: Flight) -> Result<Answer, Option<Answer>> {
-        let Flight { up, channel, sent, got } = flight;
+        let Flight { up, channel, need, sent, got } = flight;
         let now = self.inst.now();
         let answer = match got {
             Ok(it) => it,
@@ -349,6 +368,7 @@
             }
         };
         self.judge(group, &up, &answer, sent, now);
+        need.learn(&up, &answer, sent);
         if answer.txn == TxnState::Idle && answer.code() != Some(Code::NoStatement) {
             channel.give_back();
         }
@@ -378,10 +398,14 @@
                 }
             }
             Some(Code::Busy) => {
+                self.inst.counters.one(Count::ServerBusy);
                 up.busy(now, BUSY_PAUSE);
                 up.turns.learn(false);
             }
-            Some(Code::Lagging) => up.busy(now, BUSY_PAUSE),
+            Some(Code::Lagging) => {
+                self.inst.counters.one(Count::ServerLagging);
+                up.busy(now, BUSY_PAUSE);
+            }
             Some(Code::ReadOnly) => group.denied(up, now),
             Some(_) => {}
         }
--- a/crates/engine/src/turnstile.rs
+++ b/crates/engine/src/turnstile.rs
@@ -28,6 +28,12 @@
         turns.running() + turns.waiting()
     }
 
+    /// How busy it is, for a log line.
+    pub fn account(&self) -> String {
+        let turns = self.turns.borrow();
+        format!("running={} waiting={} limit={}", turns.running(), turns.waiting(), turns.limit())
+    }
+
     /// Whether a statement could run at once.
     pub fn is_free(&self) -> bool {
         self.turns.borrow().is_free()
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -157,6 +157,7 @@
             }
         };
         self.judge(group, &up, &answer, sent, self.inst.now());
+        need.learn(&up, &answer, sent);
         match answer.code() {
             None => {}
             Some(code) => {
