--- /dev/null
+++ b/crates/engine/src/ask.rs
@@ -0,0 +1,129 @@
+//! Questions and orders to servers that they answer with their account of themselves.
+
+use {
+    crate::{
+        count::Count,
+        group::Group,
+        instance::{Instance, micros},
+        model::{Order, Status},
+        peer::{Ask, Told},
+        pool::{Denied, Want},
+        settings::{ASK_WAIT, ORDER_LIMIT, PRIMARY_PAUSE, RELAY_AFTER, RELAYS},
+        upstream::Upstream,
+    },
+    std::rc::Rc,
+    tokio::time::{Instant, sleep, timeout},
+};
+
+/// Asks a server whenever it is wanted; questions that come while one is out share the next.
+pub async fn ask_forever(inst: Rc<Instance>, group: Rc<Group>, it: Rc<Upstream>) {
+    loop {
+        it.nudge.notified().await;
+        if it.is_gone() {
+            it.pool.trim(Instant::now(), true);
+            return;
+        }
+        let asked = give(&inst, &group, &it, &Order::Status).await;
+        if asked.is_none() {
+            // So that a server that can't be reached isn't asked without end.
+            sleep(PRIMARY_PAUSE).await;
+        }
+    }
+}
+
+/// Gives a server an order that it answers with its account of itself: over a connection of this instance,
+/// through another instance, or both.
+pub async fn give(inst: &Rc<Instance>, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
+    if !it.is_reachable() {
+        it.probe(inst, group);
+        return give_through(inst, group, it, order).await;
+    }
+    // Whoever gave up on an earlier question didn't take this away.
+    it.sent.set(None);
+    let direct = give_direct(inst, group, it, order);
+    tokio::pin!(direct);
+    if let Ok(answer) = timeout(RELAY_AFTER, &mut direct).await {
+        return match answer {
+            Some(it) => Some(it),
+            None if it.refused().is_some() => None,
+            None => give_through(inst, group, it, order).await,
+        };
+    }
+    tokio::select! {
+        biased;
+        Some(status) = &mut direct => Some(status),
+        Some(status) = give_through(inst, group, it, order) => {
+            // A question that still waits here for a connection shows nothing.
+            if it.sent.get().is_some_and(|at| inst.now() - at >= micros(RELAY_AFTER)) {
+                log::info!(server = it.entry().id.as_str(); "reached through other instances only");
+                it.direct.set(false);
+            }
+            Some(status)
+        }
+        else => None,
+    }
+}
+
+/// The same through another instance.
+async fn give_through(inst: &Rc<Instance>, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
+    let began = inst.now();
+    for _ in 0..RELAYS {
+        let Some(peer) = it.fit_peer(inst) else { break };
+        let sent = inst.now();
+        it.asked.set(sent);
+        let ask = Ask::Order { server: it.entry().id.clone(), order: order.clone() };
+        match timeout(ORDER_LIMIT, peer.ask(inst, ask)).await {
+            Ok(Told::Status(Some(status))) => {
+                group.saw(it, status, sent, inst.now());
+                return Some(status);
+            }
+            Ok(Told::Gone) => {
+                it.refuse(inst.now());
+                return None;
+            }
+            _ => it.unfit(&peer.name, inst.now()),
+        }
+    }
+    it.unanswered(began);
+    None
+}
+
+/// The same over a connection of this instance.
+pub async fn give_direct(inst: &Instance, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
+    let want = Want { priority: 0, until: Instant::now() + ASK_WAIT, values: None };
+    let server = it.entry();
+    let mut lease = match it.pool.lend(inst, &server, want).await {
+        Ok(lease) => lease,
+        Err(Denied::Busy | Denied::Full) => return None,
+        Err(Denied::Unreachable(e)) => {
+            log::debug!(server = server.id.as_str(); "{e}");
+            it.failed(inst.now(), e.is_refusal());
+            return None;
+        }
+    };
+    let sent = inst.now();
+    inst.counters.one(Count::Orders);
+    let dialect = inst.edge.dialect.as_ref();
+    it.asked.set(sent);
+    it.sent.set(Some(sent));
+    let answer = timeout(ORDER_LIMIT, lease.conn()?.order(dialect, order)).await;
+    it.sent.set(None);
+    let answer = match answer {
+        Ok(Ok(it)) => it,
+        Ok(Err(e)) => {
+            log::debug!(server = server.id.as_str(); "{e}");
+            it.unanswered(sent);
+            return None;
+        }
+        Err(_) => {
+            it.failed(sent, false);
+            return None;
+        }
+    };
+    lease.give_back();
+    it.direct.set(true);
+    it.answered(inst.now());
+    let status = dialect.status(&answer)?;
+    group.saw(it, status, sent, inst.now());
+    Some(status)
+}
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -3,13 +3,14 @@
 use {
     crate::{
         count::{Count, Counters},
-        group::{Group, Upstream},
+        group::Group,
         lease::Tenure,
         model::{Desired, Server},
         peer::Peer,
         ports::{Collection, Edge},
         settings::{MOST_TENTHS, SHARED_TENTHS, Settings},
         spread::Spread,
+        upstream::Upstream,
     },
     pondtrack_core::{balance::Average, place},
     pondtrack_proto::Name,
@@ -20,7 +21,11 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::{sync::Notify, time::Instant},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Notify,
+        time::{Instant, sleep},
+    },
 };
 
 /// Microseconds of the instance's monotonic clock.
@@ -47,6 +52,26 @@
 /// The span, in microseconds.
 const LINES_SPAN: Micros = 1_000_000;
 
+/// Pause after a connection couldn't be accepted, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections for good, and serves each in a task of its own.
+pub async fn accept_all<F: Future<Output = ()> + 'static>(
+    listener: &TcpListener,
+    step: &'static str,
+    serve: impl Fn(TcpStream) -> F,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::task::spawn_local(serve(stream))),
+            Err(e) => {
+                log::warn!(step; "{e}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 fn same(a: &[Rc<Peer>], b: &[Rc<Peer>]) -> bool {
     a.len() == b.len() && a.iter().zip(b).all(|(a, b)| a.name == b.name && a.zone == b.zone)
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,7 +12,8 @@
 //! | [`instance`] | what the parts of an instance share |
 //! | [`feed`] | the configuration and the directory, kept up to date |
 //! | [`spread`] | the same for instances that don't watch the store |
-//! | [`group`] | a group's servers and the evidence about them |
+//! | [`group`], [`upstream`] | a group and the evidence about it, its servers |
+//! | [`ask`] | questions and orders to servers |
 //! | [`conn`], [`pool`], [`turnstile`] | connections to servers, and turns at them |
 //! | [`channel`] | a way to a server: a connection, or another instance |
 //! | [`peer`], [`relay`] | links between instances, and statements run for others |
@@ -20,6 +21,7 @@
 //! | [`lease`], [`takeover`] | the right to give orders, and changes of primary |
 //! | [`count`], [`report`] | counters and histograms, and a line that shows them |
 
+pub mod ask;
 pub mod channel;
 pub mod conn;
 pub mod count;
@@ -40,3 +42,4 @@
 pub mod takeover;
 pub mod turnstile;
 pub mod txn;
+pub mod upstream;
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -2,15 +2,17 @@
 
 use {
     crate::{
+        ask::give_direct,
         channel::{Channel, Direct, Sending, What},
-        group::{Group, Upstream, give_direct},
-        instance::Instance,
+        group::Group,
+        instance::{Instance, accept_all},
         model::{Code, Order, Status, TxnState},
         peer::{Ask, Message, Run, Sent, Told, decode, halves},
         pool::{Denied, Want},
         ports::{Forward, Text},
         settings::ASK_WAIT,
         spread,
+        upstream::Upstream,
     },
     futures::StreamExt,
     pondtrack_core::turn::Rank,
@@ -19,29 +21,16 @@
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc::UnboundedSender,
-        time::{Instant, sleep, timeout},
+        time::{Instant, timeout},
     },
 };
 
-/// Pause after a link couldn't be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// The transactions of one link, by stream.
 type Streams = Rc<RefCell<Vec<(u64, Channel)>>>;
 
 /// Accepts links of other instances until this instance ends.
 pub async fn accept(inst: Rc<Instance>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(inst.clone(), stream));
-            }
-            Err(e) => {
-                log::warn!(step = "accept link"; "{e}");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_all(&listener, "accept link", |stream| serve(inst.clone(), stream)).await;
 }
 
 async fn serve(inst: Rc<Instance>, stream: TcpStream) {
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -4,7 +4,7 @@
     crate::{
         conn::Values,
         count::{self, Count},
-        instance::{Instance, Micros},
+        instance::{Instance, Micros, accept_all},
         model::{Access, Answer, CallerMessage, Code, Statement, TxnState, Verb},
         settings::{ROTATION_LIMIT, SESSION_NAMES},
         statement::{self, Work},
@@ -28,8 +28,6 @@
 const WRITE_LIMIT: Duration = Duration::from_secs(10);
 /// The first size of a session's buffer, in bytes: most statements are smaller.
 const BUFFER: usize = 512;
-/// Pause after a connection couldn't be accepted, as when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A named statement of a session.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,17 +60,7 @@
 
 /// Accepts callers until this instance ends.
 pub async fn accept(inst: Rc<Instance>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(inst.clone(), stream));
-            }
-            Err(e) => {
-                log::warn!(step = "accept"; "{e}");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_all(&listener, "accept", |stream| serve(inst.clone(), stream)).await;
 }
 
 async fn serve(inst: Rc<Instance>, stream: TcpStream) {
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -9,11 +9,13 @@
 
 use {
     crate::{
+        ask::give,
         count::Count,
-        group::{Group, Upstream, give},
+        group::Group,
         instance::{Instance, Micros, micros},
         model::{Order, Role, Status},
         ports::PromoteError,
+        upstream::Upstream,
     },
     futures::future::join_all,
     pondtrack_proto::{Lsn, Name, Term},
--- /dev/null
+++ b/crates/engine/src/upstream.rs
@@ -0,0 +1,283 @@
+//! A server of a group, as this instance sees it.
+
+use {
+    crate::{
+        ask::give_direct,
+        channel::{Relayed, RunError},
+        group::Group,
+        instance::{Clock, Instance, Micros, micros},
+        model::{Order, Server, Status},
+        peer::Peer,
+        pool::Pool,
+        settings::{DRAIN_USE, PROBE_PAUSE, RELAYS, UNFIT_PAUSE, UNREACHABLE_PAUSE},
+        turnstile::Turnstile,
+    },
+    pondtrack_core::balance::{Lag, Pace},
+    pondtrack_proto::Name,
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{sync::Notify, time::Instant},
+};
+
+/// A server of a group.
+pub struct Upstream {
+    /// Its place in the group's evidence.
+    pub index: usize,
+    /// Connections to it.
+    pub pool: Rc<Pool>,
+    /// Turns at it.
+    pub turns: Rc<Turnstile>,
+    pub(crate) entry: RefCell<Rc<Server>>,
+    pub(crate) status: Cell<Option<(Micros, Status)>>,
+    pub(crate) pace: Cell<Pace>,
+    pub(crate) lag: Cell<Lag>,
+    pub(crate) heard: Cell<Micros>,
+    pub(crate) silent: Cell<Option<Micros>>,
+    pub(crate) refused: Cell<Option<Micros>>,
+    pub(crate) avoid: Cell<Micros>,
+    /// Whether this instance has a share of its connections.
+    pub(crate) home: Cell<bool>,
+    /// Other instances to go through, the first one first.
+    pub(crate) ranked: RefCell<Vec<Name>>,
+    /// Whether it is reached over connections of this instance.
+    pub(crate) direct: Cell<bool>,
+    /// When that was last tried.
+    pub(crate) probed: Cell<Micros>,
+    /// Instances that couldn't reach it, and until when they are passed over.
+    pub(crate) unfit: RefCell<Vec<(Name, Micros)>>,
+    /// Since when it says that it leaves.
+    pub(crate) draining: Cell<Option<Micros>>,
+    pub(crate) missing: Cell<Option<Micros>>,
+    pub(crate) gone: Cell<bool>,
+    /// When it was last asked.
+    pub(crate) asked: Cell<Micros>,
+    /// When a question was sent over a connection of this instance that has no answer yet.
+    pub(crate) sent: Cell<Option<Micros>>,
+    pub(crate) nudge: Notify,
+}
+
+impl Upstream {
+    /// A server of which only its entry is known.
+    pub fn new(index: usize, server: Server, clock: Clock) -> Upstream {
+        let now = clock.now();
+        let draining = server.draining.then_some(now);
+        Upstream {
+            index,
+            pool: Rc::default(),
+            turns: Turnstile::new(clock),
+            entry: RefCell::new(Rc::new(server)),
+            status: Cell::default(),
+            pace: Cell::default(),
+            lag: Cell::default(),
+            heard: Cell::new(now),
+            silent: Cell::default(),
+            refused: Cell::default(),
+            avoid: Cell::default(),
+            home: Cell::new(true),
+            ranked: RefCell::default(),
+            direct: Cell::new(true),
+            probed: Cell::default(),
+            unfit: RefCell::default(),
+            draining: Cell::new(draining),
+            missing: Cell::default(),
+            gone: Cell::default(),
+            asked: Cell::default(),
+            sent: Cell::default(),
+            nudge: Notify::new(),
+        }
+    }
+
+    /// Its entry in the directory.
+    pub fn entry(&self) -> Rc<Server> {
+        self.entry.borrow().clone()
+    }
+
+    /// What it last said about itself, and when it was asked.
+    pub fn status(&self) -> Option<(Micros, Status)> {
+        self.status.get()
+    }
+
+    /// When it last answered anything.
+    pub fn heard(&self) -> Micros {
+        self.heard.get()
+    }
+
+    /// Since when it owes an answer.
+    pub fn silent(&self) -> Option<Micros> {
+        self.silent.get()
+    }
+
+    /// Since when its address refuses connections.
+    pub fn refused(&self) -> Option<Micros> {
+        self.refused.get()
+    }
+
+    /// What is known of it, for a log line.
+    pub fn account(&self, now: Micros) -> String {
+        let role = self.status.get().map_or("unknown", |it| it.1.role.into());
+        let took_ms = self.pace.get().expected(now) as u64 / 1_000;
+        let lag_ms = self.lag.get().get() / 1_000;
+        let reach = match (self.home.get(), self.direct.get()) {
+            (true, true) => "direct",
+            (true, false) => "lost",
+            (false, _) => "relayed",
+        };
+        let id = self.entry().id.clone();
+        format!("{id} {role} {reach} took_ms={took_ms} lag_ms={lag_ms} {}", self.turns.account())
+    }
+
+    /// Whether new work may go to it: not for long after it said that it leaves.
+    pub fn takes_work(&self, now: Micros) -> bool {
+        let limit = micros(DRAIN_USE);
+        !self.is_gone() && self.draining.get().is_none_or(|at| now.saturating_sub(at) < limit)
+    }
+
+    /// Whether it has left the directory for good.
+    pub fn is_gone(&self) -> bool {
+        self.gone.get()
+    }
+
+    /// It answered.
+    pub fn answered(&self, now: Micros) {
+        self.heard.set(now);
+        self.silent.set(None);
+        self.refused.set(None);
+    }
+
+    /// It took this long for a statement.
+    pub fn took(&self, took: Micros, now: Micros) {
+        let mut it = self.pace.get();
+        it.observe(took, now);
+        self.pace.set(it);
+    }
+
+    /// A question sent at this time has no answer.
+    pub fn unanswered(&self, sent: Micros) {
+        if self.silent.get().is_none() && self.heard.get() <= sent {
+            self.silent.set(Some(sent));
+        }
+    }
+
+    /// It can't be reached over a connection of this instance.
+    pub fn failed(&self, now: Micros, refused: bool) {
+        if refused {
+            self.refuse(now);
+        } else if self.direct.replace(false) {
+            log::info!(server = self.entry().id.as_str(); "not reached");
+            self.pool.trim(Instant::now(), true);
+        }
+        self.unanswered(now);
+        self.ask();
+    }
+
+    /// Nobody listens at its address, for other instances neither.
+    pub(crate) fn refuse(&self, now: Micros) {
+        self.refused.set(self.refused.get().or(Some(now)));
+        self.avoid.set(now + micros(UNREACHABLE_PAUSE));
+        self.unanswered(now);
+    }
+
+    /// A statement sent at `sent` has no answer.
+    pub fn missed(&self, e: &RunError, via: Option<&Name>, sent: Micros, now: Micros) {
+        match (e, via) {
+            (RunError::Busy, _) => self.busy(now, UNREACHABLE_PAUSE / 10),
+            (RunError::Gone, _) => self.failed(now, true),
+            (RunError::NotSent { .. } | RunError::Broken { .. }, Some(peer)) => self.unfit(peer, now),
+            (RunError::NotSent { .. }, None) => self.ask(),
+            (RunError::Broken { .. } | RunError::Late, _) => {
+                self.unanswered(sent);
+                self.ask();
+            }
+        }
+    }
+
+    /// Whether this instance has a share of its connections, and reaches it.
+    pub fn is_reachable(&self) -> bool {
+        self.home.get() && self.direct.get()
+    }
+
+    /// Sets who has a share of its connections, in the order in which they are asked.
+    pub fn place(&self, home: bool, ranked: Vec<Name>) {
+        self.home.set(home);
+        *self.ranked.borrow_mut() = ranked;
+    }
+
+    /// Another instance to go through.
+    pub(crate) fn fit_peer(&self, inst: &Instance) -> Option<Rc<Peer>> {
+        let now = inst.now();
+        let unfit = self.unfit.borrow();
+        let is_unfit = |name: &Name| unfit.iter().any(|it| it.0 == *name && it.1 > now);
+        let ranked = self.ranked.borrow();
+        let mut peers = ranked.iter().filter(|it| !is_unfit(it)).filter_map(|it| inst.peer(it));
+        peers.find(|it| it.is_usable(now))
+    }
+
+    /// Another instance couldn't reach it.
+    pub fn unfit(&self, peer: &Name, now: Micros) {
+        let mut unfit = self.unfit.borrow_mut();
+        unfit.retain(|it| it.1 > now && it.0 != *peer);
+        unfit.push((peer.clone(), now + micros(UNFIT_PAUSE)));
+    }
+
+    /// A way through another instance.
+    pub async fn relay(&self, inst: &Rc<Instance>, until: Instant) -> Option<Relayed> {
+        for _ in 0..RELAYS {
+            let peer = self.fit_peer(inst)?;
+            if let Some(link) = peer.link(inst).await {
+                let server = self.entry().id.clone();
+                return Some(Relayed::new(peer.name.clone(), link, server, until));
+            }
+        }
+        None
+    }
+
+    /// Tries, now and then, whether a server that others reach can be reached again.
+    pub(crate) fn probe(&self, inst: &Rc<Instance>, group: &Group) {
+        let now = inst.now();
+        if !self.home.get() || now < self.probed.get() + micros(PROBE_PAUSE) {
+            return;
+        }
+        self.probed.set(now);
+        let (inst, index, group) = (inst.clone(), self.index, group.name.clone());
+        tokio::task::spawn_local(async move {
+            let Some(group) = inst.group(&group) else { return };
+            let known = group.servers().into_iter().find(|it| it.index == index);
+            if let Some(it) = known
+                && give_direct(&inst, &group, &it, &Order::Status).await.is_some()
+            {
+                log::info!(server = it.entry().id.as_str(); "reached again");
+            }
+        });
+    }
+
+    /// It has too much to do: others are preferred for a moment.
+    pub fn busy(&self, now: Micros, pause: Duration) {
+        self.avoid.set(now + micros(pause));
+    }
+
+    /// A read showed that its log holds, or lacks, a position of this age.
+    pub fn holds(&self, age: Micros, holds: bool) {
+        let mut it = self.lag.get();
+        if holds {
+            it.reached(age)
+        } else {
+            it.lacked(age)
+        }
+        self.lag.set(it);
+    }
+
+    /// Asks it for its account of itself, soon.
+    pub fn ask(&self) {
+        self.nudge.notify_one();
+    }
+
+    /// The same, unless it was asked at `since` or later.
+    pub fn ask_after(&self, since: Micros) {
+        if self.asked.get() < since {
+            self.ask();
+        }
+    }
+}
