--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -137,10 +137,12 @@
 
     fn cause(&self, now: Micros) -> Option<Cause> {
         let over = |since: Option<Micros>, limit: Duration| {
-            since.is_some_and(|at| now.saturating_sub(at.max(self.since)) >= micros(limit))
+            since.is_some_and(|at| now.saturating_sub(at) >= micros(limit))
         };
+        // What was seen before this instance could act counts, but for what it didn't watch until then.
+        let watched = |since: Option<Micros>| since.map(|at| at.max(self.since));
         let Some(primary) = self.group.primary() else {
-            return over(self.group.absent(), ABSENT).then_some(Cause::Absent);
+            return over(watched(self.group.absent()), ABSENT).then_some(Cause::Absent);
         };
         if primary.entry().draining {
             return Some(Cause::Leaving);
@@ -151,7 +153,7 @@
         if over(primary.silent(), SILENCE) {
             return Some(Cause::Silent);
         }
-        over(self.ahead, STALLED).then_some(Cause::Stalled)
+        over(watched(self.ahead), STALLED).then_some(Cause::Stalled)
     }
 }
 
