--- a/crates/engine/src/conn.rs
+++ b/crates/engine/src/conn.rs
@@ -108,6 +108,8 @@
         let peer = server.addr;
         let stream = TcpStream::connect(SocketAddr::V4(peer)).await.context(ConnectSnafu { peer })?;
         stream.set_nodelay(true).context(ConnectSnafu { peer })?;
+        // Closed, it is reset: an order that nobody waits for any longer must not arrive later.
+        stream.set_zero_linger().context(ConnectSnafu { peer })?;
         let buf = BytesMut::with_capacity(BUFFER);
         let mut it = Conn {
             peer,
