--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -16,14 +16,14 @@
 
 /// The longest wait of one watch. A cut that hides its end is noticed after this long; a change has to be
 /// in force 3,000 ms after a cut of any length has been healed for 4,000 ms.
-const WATCH: Duration = Duration::from_millis(2_500);
+const WATCH: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call, shortest and its spread in milliseconds: the store refuses at most for
 /// seconds, and each call has its price.
 const PAUSE: (u64, u64) = (150, 150);
 /// The same for an instance that only reads the store because nobody tells it what is there.
-const LONG_PAUSE: (u64, u64) = (700, 700);
+const LONG_PAUSE: (u64, u64) = (900, 900);
 /// Between two looks whether the store has to be watched.
-const IDLE: Duration = Duration::from_millis(500);
+const IDLE: Duration = Duration::from_millis(250);
 /// Between two looks for servers that have left.
 const SWEEP: Duration = Duration::from_millis(500);
 /// Between two heartbeats of an instance. Only shares of connections and ways through others depend on
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -39,6 +39,8 @@
     servers: RefCell<Vec<Rc<Upstream>>>,
     term: Cell<Term>,
     primary: Cell<Option<usize>>,
+    /// Who was last seen to lead, and in which term: its word doesn't count beside its own commits.
+    leader: Cell<Option<(Term, usize)>>,
     absent: Cell<Option<Micros>>,
     fresh: RefCell<Freshness>,
     gate: RefCell<Gate>,
@@ -56,6 +58,7 @@
             servers: RefCell::default(),
             term: Cell::default(),
             primary: Cell::default(),
+            leader: Cell::default(),
             absent: Cell::default(),
             fresh: RefCell::new(Freshness::new(0, REPLICAS)),
             gate: RefCell::new(Gate::new(0, REPLICAS)),
@@ -163,7 +166,8 @@
         if leads {
             self.fresh.borrow_mut().observe(status.term, status.received, sent);
         }
-        let receives = status.role == Role::Replica && status.paused.is_none();
+        let led = self.leader.get() == Some((status.term, it.index));
+        let receives = status.role == Role::Replica && status.paused.is_none() && !led;
         if receives || self.is_alone() {
             self.fresh.borrow_mut().confirm(it.index, status.term, sent);
             let before = self.gate.borrow().durable();
@@ -199,6 +203,7 @@
     }
 
     fn found_primary(&self, index: usize, now: Micros) {
+        self.leader.set(Some((self.term.get(), index)));
         if self.primary.replace(Some(index)) == Some(index) {
             return;
         }
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -21,9 +21,9 @@
 
 /// Between two beats of an instance that watches.
 const BEAT: Duration = Duration::from_millis(800);
-/// Without a beat for this long an instance watches the store itself; three beats, and within the
+/// Without a beat of one that can watch for this long an instance watches itself: two beats, and within the
 /// 3,000 ms in which a change has to be in force.
-const LOST: Duration = Duration::from_millis(2_400);
+const LOST: Duration = Duration::from_millis(1_800);
 /// Instances of a zone for each that watches; there is one at least.
 const WATCHERS_PER: usize = 32;
 /// Time to fetch what is newer.
@@ -111,7 +111,9 @@
 pub async fn heard(inst: Rc<Instance>, beat: Beat) {
     let spread = &inst.spread;
     let now = inst.now();
-    spread.heard.set(now);
+    if beat.watching {
+        spread.heard.set(now);
+    }
     let peer = inst.peer(&beat.from);
     if let Some(it) = &peer {
         it.set_watching(beat.watching, now);
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -84,19 +84,24 @@
     }
 }
 
+/// A position of the primary that no replica has received yet.
+#[derive(Clone, Copy)]
+struct Ahead {
+    since: Micros,
+    position: Lsn,
+}
+
 /// A group under watch.
 struct Watched {
     group: Rc<Group>,
     since: Micros,
-    /// The highest position of any replica, and since when the primary is ahead of it.
-    reached: Lsn,
-    ahead: Option<Micros>,
+    ahead: Option<Ahead>,
     change: Option<tokio::task::JoinHandle<()>>,
 }
 
 impl Watched {
     fn new(group: Rc<Group>, now: Micros) -> Watched {
-        Watched { group, since: now, reached: Lsn::default(), ahead: None, change: None }
+        Watched { group, since: now, ahead: None, change: None }
     }
 
     fn look(&mut self, inst: &Rc<Instance>) {
@@ -123,16 +128,29 @@
             return;
         };
         let servers = self.group.servers();
-        let replicas = servers.iter().filter(|it| it.index != primary.index);
-        let reached =
-            replicas.filter_map(|it| it.status()).map(|it| it.1.received.lsn).max().unwrap_or_default();
+        let replicas: Vec<_> = servers.iter().filter(|it| it.index != primary.index).collect();
+        let reached = replicas.iter().filter_map(|it| it.status()).map(|it| it.1.received.lsn).max();
         let written = primary.status().map_or(Lsn::default(), |it| it.1.received.lsn);
-        if written <= reached || reached > self.reached || servers.len() == 1 {
-            self.ahead = None;
-        } else {
-            self.ahead = self.ahead.or(Some(now));
+        let reached = reached.unwrap_or_default();
+        self.ahead = match self.ahead {
+            _ if replicas.is_empty() || written <= reached => None,
+            Some(it) if reached < it.position => Some(it),
+            _ => Some(Ahead { since: now, position: written }),
+        };
+        // A verdict needs answers of the replicas that came after the time for them was over.
+        if let Some(it) = self.ahead.filter(|it| now >= it.since + micros(STALLED)) {
+            replicas.iter().for_each(|replica| replica.ask_after(it.since + micros(STALLED)));
         }
-        self.reached = reached;
+    }
+
+    /// Whether no replica has received, after long enough, what the primary had.
+    fn is_stalled(&self) -> bool {
+        let Some(ahead) = self.ahead else { return false };
+        let primary = self.group.primary().map(|it| it.index);
+        let late = ahead.since.max(self.since) + micros(STALLED);
+        let servers = self.group.servers();
+        let mut replicas = servers.iter().filter(|it| Some(it.index) != primary);
+        replicas.all(|it| it.silent().is_some() || it.status().is_some_and(|it| it.0 >= late))
     }
 
     fn cause(&self, now: Micros) -> Option<Cause> {
@@ -153,7 +171,7 @@
         if over(primary.silent(), SILENCE) {
             return Some(Cause::Silent);
         }
-        over(watched(self.ahead), STALLED).then_some(Cause::Stalled)
+        self.is_stalled().then_some(Cause::Stalled)
     }
 }
 
