--- a/crates/pondtrackd/tests/soak.rs
+++ b/crates/pondtrackd/tests/soak.rs
@@ -24,6 +24,7 @@
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         rc::Rc,
+        sync::atomic::{AtomicU16, Ordering},
         time::Duration,
     },
     tokio::{
@@ -47,6 +48,9 @@
 /// The age that routes allow, as in the stand-in's configuration.
 const AGE: Duration = Duration::from_millis(1_500);
 const INSTANCES: usize = 3;
+/// Where instances listen.
+const PORTS: std::ops::Range<u16> = 20_000..30_000;
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 const CALLERS: usize = 6;
 
 /// An instance as a process.
@@ -294,8 +298,17 @@
     }
 }
 
+/// A port for an instance, which has to be named in its settings. It is below those that the system gives to
+/// outgoing connections, of which one could take it before the instance starts.
 fn free_port() -> u16 {
-    std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap().port()
+    let first = PORTS.start + (std::process::id() % u32::from(PORTS.end - PORTS.start)) as u16;
+    loop {
+        let n = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS.start + (first - PORTS.start + n) % (PORTS.end - PORTS.start);
+        if std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// Keeps the servers' entries as the servers see themselves.
