Silent connections: nothing waits for one that lets nothing through any longer

Read from the code, and shown by tests: the store's client took its kept connections one after the other, each for a whole time limit; statements on dead connections kept the turns of others; a transaction over a dead link stayed open at its server; beats over a dead link were never missed by their sender; replicas that gave no answer were taken for replicas that receive nothing, and a primary that was well was replaced. Ruled out: probes of the system on connections to servers and between instances, which would be charged as bytes between zones; time limits on statements below the route's, as silence is no reason to end an answer. Change: a call without an answer closes the kept connections beside it; an order without one over a kept connection is given again over a new one; a statement that is overdue gives its turn back and has idle connections closed; links on which a transaction rests, or only beats go, are pinged; a stalled primary is replaced only if no replica turns out to have what it wrote; callers' sessions have keepalive.

--- a/crates/engine/src/ask.rs
+++ b/crates/engine/src/ask.rs
@@ -55,8 +55,7 @@
         Some(status) = give_through(inst, group, it, order) => {
             // A question that still waits here for a connection shows nothing.
             if it.sent.get().is_some_and(|at| inst.now() - at >= micros(RELAY_AFTER)) {
-                log::info!(server = it.entry().id.as_str(); "reached through other instances only");
-                it.direct.set(false);
+                it.lose("reached through other instances only");
             }
             Some(status)
         }
@@ -88,42 +87,66 @@
     None
 }
 
-/// The same over a connection of this instance.
+/// The same over a connection of this instance. Where a kept one gives no answer, a new one is tried: open
+/// connections can fall silent for good while new ones work.
 pub async fn give_direct(inst: &Instance, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
+    match exchange(inst, group, it, order).await {
+        Err(Unanswered::Kept) => exchange(inst, group, it, order).await.ok(),
+        outcome => outcome.ok(),
+    }
+}
+
+/// Why there is no answer to an order.
+enum Unanswered {
+    /// Over a connection that had been kept.
+    Kept,
+    /// Otherwise.
+    Failed,
+}
+
+/// Gives an order over one connection.
+async fn exchange(
+    inst: &Instance,
+    group: &Group,
+    it: &Upstream,
+    order: &Order,
+) -> Result<Status, Unanswered> {
     let want = Want { priority: 0, until: Instant::now() + ASK_WAIT, values: None };
     let server = it.entry();
     let mut lease = match it.pool.lend(inst, &server, want).await {
         Ok(lease) => lease,
-        Err(Denied::Busy | Denied::Full) => return None,
+        Err(Denied::Busy | Denied::Full) => return Err(Unanswered::Failed),
         Err(Denied::Unreachable(e)) => {
             log::debug!(server = server.id.as_str(); "{e}");
             it.failed(inst.now(), e.is_refusal());
-            return None;
+            return Err(Unanswered::Failed);
         }
     };
+    let why = if lease.is_new() { Unanswered::Failed } else { Unanswered::Kept };
     let sent = inst.now();
     inst.counters.one(Count::Orders);
     let dialect = inst.edge.dialect.as_ref();
     it.asked.set(sent);
     it.sent.set(Some(sent));
-    let answer = timeout(ORDER_LIMIT, lease.conn()?.order(dialect, order)).await;
+    let Some(conn) = lease.conn() else { return Err(Unanswered::Failed) };
+    let answer = timeout(ORDER_LIMIT, conn.order(dialect, order)).await;
     it.sent.set(None);
     let answer = match answer {
         Ok(Ok(it)) => it,
         Ok(Err(e)) => {
             log::debug!(server = server.id.as_str(); "{e}");
             it.unanswered(sent);
-            return None;
+            return Err(why);
         }
         Err(_) => {
             it.failed(sent, false);
-            return None;
+            return Err(why);
         }
     };
     lease.give_back();
     it.direct.set(true);
     it.answered(inst.now());
-    let status = dialect.status(&answer)?;
+    let status = dialect.status(&answer).ok_or(Unanswered::Failed)?;
     group.saw(it, status, sent, inst.now());
-    Some(status)
+    Ok(status)
 }
--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -17,8 +17,8 @@
     pondtrack_core::turn::Rank,
     pondtrack_proto::{Mark, Name},
     snafu::Snafu,
-    std::rc::Rc,
-    tokio::time::{Instant, timeout_at},
+    std::{rc::Rc, time::Duration},
+    tokio::time::{Instant, timeout, timeout_at},
 };
 
 /// What is sent, and the state of the session it is for.
@@ -34,6 +34,8 @@
     pub rank: Option<Rank>,
     /// A statement that takes longer is slow, in microseconds.
     pub slow: Micros,
+    /// A statement that takes longer may wait on a connection that fell silent.
+    pub overdue: Duration,
     /// When nobody waits any longer.
     pub end: Instant,
 }
@@ -121,6 +123,15 @@
         Relayed { peer, link, stream, server, until, pinned: false }
     }
 
+    fn set_pinned(&mut self, pinned: bool) {
+        match (self.pinned, pinned) {
+            (false, true) => self.link.pin(),
+            (true, false) => self.link.unpin(),
+            (false, false) | (true, true) => {}
+        }
+        self.pinned = pinned;
+    }
+
     async fn run(&mut self, inst: &Instance, it: Sending<'_>) -> Result<Answer, RunError> {
         let left = |until: Instant| until.saturating_duration_since(Instant::now()).as_millis() as u32;
         let what = match it.what {
@@ -146,7 +157,7 @@
         };
         match self.link.ask(Ask::Run(Box::new(run))).await {
             Told::Answer(answer) => {
-                self.pinned = answer.txn != TxnState::Idle;
+                self.set_pinned(answer.txn != TxnState::Idle);
                 Ok(answer)
             }
             Told::NotSent(reason) => Err(RunError::NotSent { reason }),
@@ -164,6 +175,7 @@
     fn drop(&mut self) {
         if self.pinned {
             self.link.drop_stream(self.stream);
+            self.link.unpin();
         }
     }
 }
@@ -209,12 +221,20 @@
 
 impl Direct {
     async fn run(&mut self, inst: &Instance, it: Sending<'_>) -> Result<Answer, RunError> {
-        let _permit = match (self.permit.take(), it.rank) {
+        let permit = match (self.permit.take(), it.rank) {
             (Some(it), _) => Some(it),
             (None, Some(rank)) => Some(self.turns.enter(rank, it.end).await.ok_or(RunError::Busy)?),
             (None, None) => None,
         };
-        run_on(inst, &mut self.lease, it).await
+        let (sent, pool) = (Instant::now(), self.lease.pool());
+        let work = run_on(inst, &mut self.lease, it);
+        tokio::pin!(work);
+        if let Ok(it) = timeout(it.overdue, &mut work).await {
+            return it;
+        }
+        drop(permit);
+        pool.doubt(sent);
+        work.await
     }
 }
 
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        instance::{Instance, Micros, micros},
+        instance::{Clock, Instance, Micros, micros},
         model::{Answer, Desired, Order, Server, Status},
         ports::Collection,
         session::Prepared,
@@ -29,8 +29,8 @@
             TcpStream,
             tcp::{OwnedReadHalf, OwnedWriteHalf},
         },
-        sync::{Mutex, mpsc, oneshot},
-        time::{sleep, timeout},
+        sync::{Mutex, Notify, mpsc, oneshot},
+        time::timeout,
     },
     tokio_util::codec::{FramedRead, LengthDelimitedCodec},
 };
@@ -44,6 +44,11 @@
 /// A link that owes answers and is silent for this long is given up. Statements take up to 300 ms, but a
 /// ping is answered at once.
 const SILENCE: Duration = Duration::from_millis(500);
+/// Between two looks at a link on which only an idle transaction rests.
+const PING: Duration = Duration::from_millis(1_000);
+/// A link on which a transaction rests is given up, on either side, when nothing was heard for this long:
+/// three pings.
+pub const STREAM_SILENCE: Duration = Duration::from_millis(3_000);
 /// A peer whose link failed is passed over for this long, doubled each time it fails again.
 const AVOID: Duration = Duration::from_millis(1_000);
 /// The most doublings: its entry stays for a while after it is gone.
@@ -277,7 +282,16 @@
     pending: RefCell<Vec<(u64, oneshot::Sender<Told>)>>,
     next: Cell<u64>,
     heard: Cell<Micros>,
+    /// Since when something is owed, or a transaction rests on it.
+    since: Cell<Micros>,
+    /// Whether a ping has no answer yet that was sent because nothing else would be answered.
+    pinged: Cell<bool>,
+    /// Transactions that rest on it.
+    pinned: Cell<usize>,
+    /// Woken when it has to be looked at.
+    wanted: Notify,
     open: Cell<bool>,
+    clock: Clock,
 }
 
 impl Link {
@@ -288,10 +302,15 @@
             pending: RefCell::default(),
             next: Cell::new(1),
             heard: Cell::new(inst.now()),
+            since: Cell::new(inst.now()),
+            pinged: Cell::default(),
+            pinned: Cell::default(),
+            wanted: Notify::new(),
             open: Cell::new(true),
+            clock: inst.clock,
         });
-        tokio::task::spawn_local(it.clone().receive(inst.clone(), reader));
-        tokio::task::spawn_local(it.clone().watch(inst.clone()));
+        tokio::task::spawn_local(it.clone().receive(reader));
+        tokio::task::spawn_local(it.clone().watch());
         it
     }
 
@@ -311,6 +330,33 @@
         self.out.send(message).ok();
     }
 
+    /// Tells something regularly. The link is checked now and then: nothing else would show that it is dead.
+    pub fn tell_again(&self, message: Message) {
+        self.tell(message);
+        let silent = self.clock.now().saturating_sub(self.heard.get());
+        if silent >= micros(STREAM_SILENCE) && !self.pinged.replace(true) {
+            self.tell(Message::Ping);
+            self.look();
+        }
+    }
+
+    /// A transaction rests on it from now on.
+    pub fn pin(&self) {
+        self.pinned.set(self.pinned.get() + 1);
+        self.look();
+    }
+
+    /// A transaction has ended.
+    pub fn unpin(&self) {
+        self.pinned.set(self.pinned.get().saturating_sub(1));
+    }
+
+    /// Has it looked at, from now on.
+    fn look(&self) {
+        self.since.set(self.clock.now());
+        self.wanted.notify_one();
+    }
+
     /// Tells that a stream's transaction is given up.
     pub fn drop_stream(&self, stream: u64) {
         // On a closed link the other side has dropped it already.
@@ -324,13 +370,17 @@
         if !self.open.get() || self.out.send(Message::Ask { id, ask }).is_err() {
             return Told::NotSent("the link is closed".to_owned());
         }
+        if self.pending.borrow().is_empty() {
+            self.look();
+        }
         self.pending.borrow_mut().push((id, answer));
         got.await.unwrap_or_else(|_| Told::Broken("the link broke".to_owned()))
     }
 
-    async fn receive(self: Rc<Self>, inst: Rc<Instance>, mut reader: Reader) {
+    async fn receive(self: Rc<Self>, mut reader: Reader) {
         while let Some(Ok(bytes)) = reader.next().await {
-            self.heard.set(inst.now());
+            self.heard.set(self.clock.now());
+            self.pinged.set(false);
             match decode(&bytes) {
                 Some(Message::Told { id, told }) => self.resolve(id, told),
                 Some(Message::Pong) => {}
@@ -352,21 +402,26 @@
         }
     }
 
-    /// Gives the link up when it owes answers and is silent.
-    async fn watch(self: Rc<Self>, inst: Rc<Instance>) {
-        let mut since = None;
+    /// Gives the link up when it is silent although it owes answers, or a transaction rests on it.
+    async fn watch(self: Rc<Self>) {
         while self.open.get() {
-            sleep(LOOK).await;
             self.pending.borrow_mut().retain(|it| !it.1.is_closed());
-            if self.pending.borrow().is_empty() {
-                since = None;
+            let owes = self.pinged.get() || !self.pending.borrow().is_empty();
+            let (pause, limit) = match owes {
+                true => (LOOK, SILENCE),
+                false if self.pinned.get() > 0 => (PING, STREAM_SILENCE),
+                false => {
+                    self.wanted.notified().await;
+                    continue;
+                }
+            };
+            if timeout(pause, self.wanted.notified()).await.is_ok() {
                 continue;
             }
-            let began = *since.get_or_insert(inst.now());
-            let silent = inst.now().saturating_sub(self.heard.get().max(began));
-            if silent >= micros(SILENCE) {
+            let silent = self.clock.now().saturating_sub(self.heard.get().max(self.since.get()));
+            if silent >= micros(limit) {
                 self.close();
-            } else if silent >= micros(LOOK) {
+            } else if silent >= micros(pause) {
                 self.out.send(Message::Ping).ok();
             }
         }
@@ -375,6 +430,7 @@
     fn close(&self) {
         self.open.set(false);
         self.pending.borrow_mut().clear();
+        self.wanted.notify_one();
     }
 }
 
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -86,7 +86,7 @@
     ) -> Result<Lease, Denied> {
         loop {
             if let Some(conn) = self.take_idle(want.values.as_ref()) {
-                return Ok(self.lease(conn));
+                return Ok(Lease { pool: self.clone(), conn: Some(conn), returned: false, new: false });
             }
             if self.may_open() {
                 match self.open(inst, server).await {
@@ -121,6 +121,15 @@
         });
     }
 
+    /// Closes connections that have been idle since before a time: one that was in use since then gives no
+    /// answer, and they may be as dead.
+    pub fn doubt(&self, since: Instant) {
+        let mut idle = self.idle.borrow_mut();
+        let before = idle.len();
+        idle.retain(|it| it.since > since);
+        self.open.set(self.open.get() - (before - idle.len()));
+    }
+
     fn may_open(&self) -> bool {
         !self.is_full() && self.open.get() < self.most.get().max(1)
     }
@@ -147,7 +156,7 @@
     async fn open(self: &Rc<Self>, inst: &Instance, server: &Server) -> Result<Lease, ConnError> {
         // Counted before it is there, so that callers at the same time don't open too many.
         self.open.set(self.open.get() + 1);
-        let mut place = Lease { pool: self.clone(), conn: None, kept: false };
+        let mut place = Lease { pool: self.clone(), conn: None, returned: false, new: true };
         inst.counters.one(Count::Opened);
         match Conn::open(inst.edge.dialect.as_ref(), server).await {
             Ok(conn) => {
@@ -181,10 +190,6 @@
         }
     }
 
-    fn lease(self: &Rc<Self>, conn: Conn) -> Lease {
-        Lease { pool: self.clone(), conn: Some(conn), kept: false }
-    }
-
     fn next_waiter(&self) -> Option<Waiter> {
         let mut waiting = self.waiting.borrow_mut();
         (!waiting.is_empty()).then(|| waiting.remove(0))
@@ -196,7 +201,9 @@
     pool: Rc<Pool>,
     conn: Option<Conn>,
     /// Whether the connection went back and stays counted.
-    kept: bool,
+    returned: bool,
+    /// Whether it was opened for this loan.
+    new: bool,
 }
 
 impl Lease {
@@ -205,9 +212,20 @@
         self.conn.as_mut()
     }
 
+    /// The pool that lends it.
+    pub fn pool(&self) -> Rc<Pool> {
+        self.pool.clone()
+    }
+
+    /// Whether the connection was opened for this loan, so that nothing of the past can be wrong with it.
+    pub fn is_new(&self) -> bool {
+        self.new
+    }
+
     /// Gives the connection back for others.
     pub fn give_back(self) {
         let mut lease = self;
+        lease.new = false;
         while let Some(waiter) = lease.pool.next_waiter() {
             match waiter.turn.send(Some(lease)) {
                 Ok(()) => return,
@@ -217,7 +235,7 @@
             }
         }
         if let Some(conn) = lease.conn.take() {
-            lease.kept = true;
+            lease.returned = true;
             lease.pool.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
         }
     }
@@ -225,7 +243,7 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if self.kept {
+        if self.returned {
             return;
         }
         self.pool.open.set(self.pool.open.get().saturating_sub(1));
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -7,7 +7,7 @@
         group::Group,
         instance::{Instance, accept_all},
         model::{Code, Order, Status, TxnState},
-        peer::{Ask, Message, Run, Sent, Told, decode, halves},
+        peer::{Ask, Message, Run, STREAM_SILENCE, Sent, Told, decode, halves},
         pool::{Denied, Want},
         ports::{Forward, Text},
         settings::ASK_WAIT,
@@ -36,7 +36,16 @@
 async fn serve(inst: Rc<Instance>, stream: TcpStream) {
     let (mut reader, out) = halves(stream);
     let streams = Streams::default();
-    while let Some(Ok(bytes)) = reader.next().await {
+    loop {
+        let bytes = match timeout(STREAM_SILENCE, reader.next()).await {
+            Ok(Some(Ok(it))) => it,
+            Ok(Some(Err(_)) | None) => break,
+            Err(_) if streams.borrow().is_empty() => continue,
+            Err(_) => {
+                log::info!(step = "link", transactions = streams.borrow().len(); "another instance is silent; its transactions are rolled back");
+                break;
+            }
+        };
         match decode(&bytes) {
             Some(Message::Ask { id, ask }) => {
                 tokio::task::spawn_local(answer(inst.clone(), streams.clone(), out.clone(), id, ask));
@@ -122,7 +131,8 @@
     };
     let sent = inst.now();
     let slow = it.slow;
-    let sending = Sending { values: Some(&values), named: it.named.as_ref(), what, rank, slow, end };
+    let overdue = up.overdue(sent);
+    let sending = Sending { values: Some(&values), named: it.named.as_ref(), what, rank, slow, overdue, end };
     let answer = match channel.run(inst, sending).await {
         Ok(it) => it,
         Err(e) => {
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -13,6 +13,7 @@
     bytes::{Bytes, BytesMut},
     pondtrack_proto::{Mark, Name},
     serde::{Deserialize, Serialize},
+    socket2::{SockRef, TcpKeepalive},
     std::{future, io, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -26,6 +27,11 @@
 const OPEN_LIMIT: Duration = Duration::from_secs(5);
 /// Time for a caller to take an answer; one that doesn't read is cut off.
 const WRITE_LIMIT: Duration = Duration::from_secs(10);
+/// A caller that says nothing for this long is asked by the system whether it is there: sessions are mostly
+/// idle, and one whose connection let nothing through any longer would stay for good.
+const KEEPALIVE: Duration = Duration::from_secs(20);
+/// Between two such questions, and how many go unanswered before the session ends.
+const KEEPALIVE_AGAIN: (Duration, u32) = (Duration::from_secs(5), 3);
 /// The first size of a session's buffer, in bytes: most statements are smaller.
 const BUFFER: usize = 512;
 
@@ -99,6 +105,10 @@
 
     async fn run(&mut self) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
+        let (interval, retries) = KEEPALIVE_AGAIN;
+        let keepalive =
+            TcpKeepalive::new().with_time(KEEPALIVE).with_interval(interval).with_retries(retries);
+        SockRef::from(&self.stream).set_tcp_keepalive(&keepalive)?;
         let Some(mut session) = self.open().await? else { return Ok(()) };
         loop {
             let open = session.txn.is_open();
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -51,6 +51,12 @@
 /// After a statement has had no answer for this long, its server is asked whether it is there. Most
 /// statements take under 100 ms.
 pub const PATIENCE: Duration = Duration::from_millis(120);
+/// A statement without an answer for this long, and for this many times the server's usual time, may wait on a
+/// connection that fell silent: it no longer keeps others from their turns, and connections that were idle
+/// when it was sent are closed. The users' longest statements take 300 ms.
+pub const OVERDUE: Duration = Duration::from_millis(500);
+/// See [`OVERDUE`].
+pub const OVERDUE_FACTOR: u32 = 10;
 /// After a question has had no answer for this long, another instance is asked to put it too.
 pub const RELAY_AFTER: Duration = Duration::from_millis(120);
 /// Between two tries to reach a server again that others reach.
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -103,7 +103,7 @@
         return;
     }
     if let Some(link) = peer.link(&inst).await {
-        link.tell(Message::Beat(beat));
+        link.tell_again(Message::Beat(beat));
     }
 }
 
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -103,6 +103,7 @@
             what,
             rank: Some(self.rank),
             slow: self.slow,
+            overdue: up.overdue(inst.now()),
             end: self.end,
         };
         let work = channel.run(inst, sending);
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -113,7 +113,8 @@
         }
         match self.cause(now) {
             Some(cause) => {
-                let change = change(inst.clone(), self.group.clone(), cause);
+                let ahead = self.ahead.map(|it| it.position);
+                let change = change(inst.clone(), self.group.clone(), cause, ahead);
                 self.change = Some(tokio::task::spawn_local(change));
                 self.ahead = None;
             }
@@ -212,12 +213,12 @@
     }
 }
 
-async fn change(inst: Rc<Instance>, group: Rc<Group>, cause: Cause) {
+async fn change(inst: Rc<Instance>, group: Rc<Group>, cause: Cause, ahead: Option<Lsn>) {
     let began = Instant::now();
     let term = group.term();
     let old = group.primary().map_or(Name::new(), |it| it.entry().id.clone());
     log::info!(group = group.name.as_str(), primary = old.as_str(), term = term.0, cause:% = cause; "change of primary begins");
-    let changed = Change { inst: &inst, group: &group, term, cause }.run().await;
+    let changed = Change { inst: &inst, group: &group, term, cause, ahead }.run().await;
     let took_ms = began.elapsed().as_millis() as u64;
     match changed {
         Ok(id) => {
@@ -237,6 +238,8 @@
     /// The term that is to end.
     term: Term,
     cause: Cause,
+    /// The position of the primary that no replica was seen to have.
+    ahead: Option<Lsn>,
 }
 
 impl Change<'_> {
@@ -253,6 +256,11 @@
             return Err("a primary was found");
         }
         known.retain(|it| it.1.role == Role::Replica);
+        let has = |at: Lsn| known.iter().any(|it| it.1.received.lsn >= at);
+        if self.cause == Cause::Stalled && self.ahead.is_some_and(has) {
+            // Replicas that gave no answer before may have received it all the while.
+            return Err("a replica has received what the primary wrote");
+        }
         // The longest log first; of equal ones a server that stays.
         known.sort_by_key(|it| (std::cmp::Reverse(it.1.received), it.0.entry().draining));
         let Some(target) = known.first().map(|it| it.0.clone()) else { return Err("no replica answers") };
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -92,7 +92,15 @@
             let OpenTxn { inst, mut channel, .. } = *it;
             let what = What::Order(&Order::Rollback, None);
             let end = Instant::now() + ORDER_LIMIT;
-            let sending = Sending { values: None, named: None, what, rank: None, slow: Micros::MAX, end };
+            let sending = Sending {
+                values: None,
+                named: None,
+                what,
+                rank: None,
+                slow: Micros::MAX,
+                overdue: ORDER_LIMIT,
+                end,
+            };
             // Without an answer the connection is closed, which rolls back as well.
             if let Ok(answer) = channel.run(&inst, sending).await
                 && answer.is_done()
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -9,7 +9,7 @@
         model::{Order, Server, Status},
         peer::Peer,
         pool::Pool,
-        settings::{DRAIN_USE, PROBE_PAUSE, RELAYS, UNFIT_PAUSE, UNREACHABLE_PAUSE},
+        settings::{DRAIN_USE, OVERDUE, OVERDUE_FACTOR, PROBE_PAUSE, RELAYS, UNFIT_PAUSE, UNREACHABLE_PAUSE},
         turnstile::Turnstile,
     },
     pondtrack_core::balance::{Lag, Pace},
@@ -154,6 +154,12 @@
         self.pace.set(it);
     }
 
+    /// How long a statement may take until its connection is doubted.
+    pub fn overdue(&self, now: Micros) -> Duration {
+        let expected = Duration::from_micros(self.pace.get().expected(now) as Micros);
+        OVERDUE.max(expected * OVERDUE_FACTOR)
+    }
+
     /// A question sent at this time has no answer.
     pub fn unanswered(&self, sent: Micros) {
         if self.silent.get().is_none() && self.heard.get() <= sent {
@@ -163,16 +169,22 @@
 
     /// It can't be reached over a connection of this instance.
     pub fn failed(&self, now: Micros, refused: bool) {
-        if refused {
-            self.refuse(now);
-        } else if self.direct.replace(false) {
-            log::info!(server = self.entry().id.as_str(); "not reached");
-            self.pool.trim(Instant::now(), true);
+        match refused {
+            true => self.refuse(now),
+            false => self.lose("not reached"),
         }
         self.unanswered(now);
         self.ask();
     }
 
+    /// Connections of this instance don't reach it: those that are idle are as useless.
+    pub(crate) fn lose(&self, what: &str) {
+        self.pool.trim(Instant::now(), true);
+        if self.direct.replace(false) {
+            log::info!(server = self.entry().id.as_str(); "{what}");
+        }
+    }
+
     /// Nobody listens at its address, for other instances neither.
     pub(crate) fn refuse(&self, now: Micros) {
         self.refused.set(self.refused.get().or(Some(now)));
