Engine: one judgement of answers, bounds that change while an instance runs, dead state of a group removed

What a server's answer shows is concluded in one place (Upstream::judge) for own and relayed statements; a relayed answer no longer teaches this instance's turns. The times in which a change has to be in force and a leaving server may be used come from the settings, which are read again when the file changes, with or without a signal; before they were constants and the file was only checked at SIGHUP.

--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -44,9 +44,6 @@
     absent: Cell<Option<Micros>>,
     fresh: RefCell<Freshness>,
     gate: RefCell<Gate>,
-    /// Since when commits wait without progress.
-    stalled: Cell<Option<Micros>>,
-    waiting: Cell<usize>,
 }
 
 impl Group {
@@ -62,8 +59,6 @@
             absent: Cell::default(),
             fresh: RefCell::new(Freshness::new(0, REPLICAS)),
             gate: RefCell::new(Gate::new(0, REPLICAS)),
-            stalled: Cell::default(),
-            waiting: Cell::default(),
         }
     }
 
@@ -88,11 +83,6 @@
         self.absent.get()
     }
 
-    /// Since when commits wait for a replica without progress.
-    pub fn stalled(&self) -> Option<Micros> {
-        self.stalled.get()
-    }
-
     /// Takes a server's entry in; a new server gets a task that asks it.
     pub fn enter(self: &Rc<Self>, inst: &Rc<Instance>, server: Server) {
         let known = self.servers.borrow().iter().find(|it| it.entry().id == server.id).cloned();
@@ -170,11 +160,7 @@
         let receives = status.role == Role::Replica && status.paused.is_none() && !led;
         if receives || self.is_alone() {
             self.fresh.borrow_mut().confirm(it.index, status.term, sent);
-            let before = self.gate.borrow().durable();
             self.gate.borrow_mut().observe(it.index, status.term, status.received);
-            if self.gate.borrow().durable() > before {
-                self.stalled.set((self.waiting.get() > 0).then_some(now));
-            }
         }
         self.changed.notify_waiters();
     }
@@ -198,7 +184,6 @@
         self.term.set(term);
         self.fresh.borrow_mut().begin(term);
         self.gate.borrow_mut().begin(term);
-        self.stalled.set(None);
         self.lose_primary(now);
     }
 
@@ -262,7 +247,7 @@
             self.primary.get() == Some(it.index) || age >= it.lag.get().get() as f64 * LAG_FACTOR
         };
         let servers = self.servers();
-        let usable = |it: &&Rc<Upstream>| caught_up(it) && it.silent.get().is_none() && it.takes_work(now);
+        let usable = |it: &&Rc<Upstream>| caught_up(it) && it.silent.get().is_none() && it.takes_work(inst);
         servers
             .iter()
             .filter(usable)
@@ -336,18 +321,6 @@
 
     /// Waits until a replica has received a commit of `term`. False when the term is over, or at the end.
     pub async fn replicated(&self, inst: &Instance, term: Term, at: Lsn, end: Instant) -> bool {
-        if self.waiting.replace(self.waiting.get() + 1) == 0 {
-            self.stalled.set(Some(inst.now()));
-        }
-        let done = self.wait_replicated(inst, term, at, end).await;
-        self.waiting.set(self.waiting.get() - 1);
-        if self.waiting.get() == 0 {
-            self.stalled.set(None);
-        }
-        done
-    }
-
-    async fn wait_replicated(&self, inst: &Instance, term: Term, at: Lsn, end: Instant) -> bool {
         let began = Instant::now();
         let mut pause = GATE_PAUSE;
         let mut sent = inst.now();
@@ -376,7 +349,7 @@
     pub async fn wait_primary(&self, inst: &Instance, end: Instant) -> Option<Rc<Upstream>> {
         loop {
             let changed = self.changed.notified();
-            let usable = |it: &Rc<Upstream>| it.silent().is_none() && it.takes_work(inst.now());
+            let usable = |it: &Rc<Upstream>| it.silent().is_none() && it.takes_work(inst);
             if let Some(it) = self.primary().filter(usable) {
                 return Some(it);
             }
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -8,7 +8,7 @@
         model::{Desired, Server},
         peer::Peer,
         ports::{Collection, Edge},
-        settings::{MOST_TENTHS, SHARED_TENTHS, Settings},
+        settings::{Bounds, MOST_TENTHS, SHARED_TENTHS, Settings},
         spread::Spread,
         upstream::Upstream,
     },
@@ -80,6 +80,8 @@
 pub struct Instance {
     /// The settings.
     pub settings: Settings,
+    /// Times that the platform promises and expects.
+    pub bounds: Cell<Bounds>,
     /// Wire, store and orders.
     pub edge: Edge,
     /// Counters.
@@ -111,9 +113,10 @@
 
 impl Instance {
     /// An instance that knows nothing yet.
-    pub fn new(settings: Settings, edge: Edge) -> Rc<Instance> {
+    pub fn new(settings: Settings, bounds: Bounds, edge: Edge) -> Rc<Instance> {
         Rc::new(Instance {
             settings,
+            bounds: Cell::new(bounds),
             edge,
             counters: Counters::default(),
             leave: Notify::new(),
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -6,13 +6,13 @@
         channel::{Channel, Direct, Sending, What},
         group::Group,
         instance::{Instance, accept_all},
-        model::{Code, Order, Status, TxnState},
+        model::{Order, Status, TxnState},
         peer::{Ask, Message, Run, STREAM_SILENCE, Sent, Told, decode, halves},
         pool::{Denied, Want},
         ports::{Forward, Text},
         settings::ASK_WAIT,
         spread,
-        upstream::Upstream,
+        upstream::{Exchange, Upstream},
     },
     futures::StreamExt,
     pondtrack_core::turn::Rank,
@@ -140,18 +140,7 @@
             return e.into();
         }
     };
-    let took = inst.now();
-    up.answered(took);
-    if answer.code() == Some(Code::Busy) {
-        up.turns.learn(false);
-    }
-    if answer.is_done() {
-        up.turns.learn(took - sent <= slow);
-        up.took(took - sent, took);
-        if let Some(at) = answer.mark {
-            group.moved(&up, at, sent);
-        }
-    }
+    up.judge(inst, &group, &answer, Exchange { sent, slow, direct: true });
     match answer.txn {
         TxnState::Idle => channel.give_back(),
         // A link that has closed meanwhile takes its transactions with it.
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -228,7 +228,7 @@
             None => left.await,
         }
     };
-    sleep_until(since + if open { inst.settings.grace / 2 } else { ROTATION_LIMIT }).await;
+    sleep_until(since + if open { inst.bounds.get().grace / 2 } else { ROTATION_LIMIT }).await;
 }
 
 impl Session {
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -14,8 +14,17 @@
     pub zone: Name,
     /// Where other instances connect.
     pub peer_addr: SocketAddrV4,
+}
+
+/// Times that the platform promises and expects; they may change while an instance runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
     /// From the signal to end until the process is killed.
     pub grace: Duration,
+    /// How long a leaving server serves after it said so.
+    pub drain: Duration,
+    /// In which a changed configuration has to be in force.
+    pub apply: Duration,
 }
 
 /// Time for a connection to a server to open. A server takes 12 ms, a crossing of zones under 3 ms; the
@@ -87,9 +96,9 @@
 pub const ROTATION_LIMIT: Duration = Duration::from_millis(2_300);
 /// A read goes to a replica when it has had this many times its usual lag to catch up.
 pub const LAG_FACTOR: f64 = 2.0;
-/// How long a leaving server may get new work, where no other can do it. The shortest time that the users'
-/// deployments name is 7,000 ms from the store's word, which may reach this instance late.
-pub const DRAIN_USE: Duration = Duration::from_millis(4_500);
+/// A leaving server gets new work, where no other can do it, until this long before its time is over: the
+/// store's word may have reached this instance late, and statements take a while.
+pub const DRAIN_LATE: Duration = Duration::from_millis(2_500);
 /// A server whose entry has been missing for this long is taken as gone. The users' pages name about two
 /// seconds after an outage of the store.
 pub const GONE_AFTER: Duration = Duration::from_millis(2_500);
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -19,11 +19,12 @@
     },
 };
 
-/// Between two beats of an instance that watches.
-const BEAT: Duration = Duration::from_millis(800);
-/// Without a beat of one that can watch for this long an instance watches itself: two beats, and within the
-/// 3,000 ms in which a change has to be in force.
-const LOST: Duration = Duration::from_millis(1_800);
+/// Between two beats of an instance that watches, as a share of the time in which a change has to be in force:
+/// 800 of the users' 3,000 ms.
+const BEAT_SHARE: f64 = 0.267;
+/// Without a beat of one that can watch for this share of the same time an instance watches itself: two beats,
+/// and room for a call of the store.
+const LOST_SHARE: f64 = 0.6;
 /// Instances of a zone for each that watches; there is one at least.
 const WATCHERS_PER: usize = 32;
 /// Time to fetch what is newer.
@@ -61,7 +62,8 @@
     /// Whether this instance has to watch the store.
     pub fn must_watch(&self, inst: &Instance) -> bool {
         let silent = inst.now().saturating_sub(self.heard.get());
-        self.heard.get() == 0 || silent >= micros(LOST) || self.is_watcher(inst)
+        let lost = inst.bounds.get().apply.mul_f64(LOST_SHARE);
+        self.heard.get() == 0 || silent >= micros(lost) || self.is_watcher(inst)
     }
 
     /// A call for a collection had, or had no, result.
@@ -87,7 +89,8 @@
 pub async fn run(inst: Rc<Instance>) {
     loop {
         // New or not, something is told at the next beat.
-        let _ = timeout(BEAT, inst.spread.tell.notified()).await;
+        let beat = inst.bounds.get().apply.mul_f64(BEAT_SHARE);
+        let _ = timeout(beat, inst.spread.tell.notified()).await;
         let (Some(beat), Some(peers)) = (inst.spread.beat(&inst), inst.peers()) else {
             continue;
         };
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -19,7 +19,7 @@
             AGE_MARGIN, COME_BACK_MS, HEDGE_SHARE, HOLD_SHARE, PATIENCE, RETRY_PAUSE, SLOW_SHARE, TRIES,
             TXN_STATEMENTS,
         },
-        upstream::Upstream,
+        upstream::{Exchange, Upstream},
     },
     bytes::Bytes,
     futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
@@ -31,8 +31,6 @@
 
 /// Time after which a server that owes an answer nobody waits for loses its connection.
 const REAP_LIMIT: Duration = Duration::from_secs(3);
-/// After a server said that it is busy, others are preferred for this long.
-const BUSY_PAUSE: Duration = Duration::from_millis(15);
 
 /// A statement on its way.
 pub struct Work<'a> {
@@ -353,11 +351,16 @@
             values: session.values.clone(),
             named: self.named.clone(),
             rank: self.rank(),
-            slow: micros(self.route.objective.mul_f64(SLOW_SHARE)),
+            slow: self.slow(),
             end: self.end,
         }
     }
 
+    /// A statement that takes longer than this is slow.
+    fn slow(&self) -> Micros {
+        micros(self.route.objective.mul_f64(SLOW_SHARE))
+    }
+
     /// Takes the answer to a read: the answer for the caller, or the error of a try that failed.
     fn landed(&self, group: &Group, flight: Flight) -> Result<Answer, Option<Answer>> {
         let Flight { up, channel, need, sent, got } = flight;
@@ -369,7 +372,7 @@
                 return Err(None);
             }
         };
-        self.judge(group, &up, &answer, sent, now);
+        self.judge(group, &up, &answer, sent, &channel);
         need.learn(&up, &answer, sent);
         if answer.txn == TxnState::Idle && answer.code() != Some(Code::NoStatement) {
             channel.give_back();
@@ -387,28 +390,16 @@
     }
 
     /// Draws conclusions from an answer.
-    pub fn judge(&self, group: &Group, up: &Upstream, answer: &Answer, sent: Micros, now: Micros) {
-        up.answered(now);
+    pub fn judge(&self, group: &Group, up: &Upstream, answer: &Answer, sent: Micros, channel: &Channel) {
+        let direct = channel.via().is_none();
+        up.judge(&self.inst, group, answer, Exchange { sent, slow: self.slow(), direct });
         match answer.code() {
             None => {
                 self.inst.counters.one(Count::Statements);
-                up.took(now - sent, now);
-                up.turns.learn(now - sent <= micros(self.route.objective.mul_f64(SLOW_SHARE)));
-                self.inst.spent(&self.route.database, now - sent);
-                if let Some(at) = answer.mark {
-                    group.moved(up, at, sent);
-                }
-            }
-            Some(Code::Busy) => {
-                self.inst.counters.one(Count::ServerBusy);
-                up.busy(now, BUSY_PAUSE);
-                up.turns.learn(false);
-            }
-            Some(Code::Lagging) => {
-                self.inst.counters.one(Count::ServerLagging);
-                up.busy(now, BUSY_PAUSE);
+                self.inst.spent(&self.route.database, self.inst.now() - sent);
             }
-            Some(Code::ReadOnly) => group.denied(up, now),
+            Some(Code::Busy) => self.inst.counters.one(Count::ServerBusy),
+            Some(Code::Lagging) => self.inst.counters.one(Count::ServerLagging),
             Some(_) => {}
         }
     }
@@ -448,7 +439,7 @@
                     }
                 }
             };
-            self.judge(&group, &up, &answer, sent, self.inst.now());
+            self.judge(&group, &up, &answer, sent, &channel);
             if answer.txn == TxnState::Idle && answer.code() != Some(Code::NoStatement) {
                 channel.give_back();
             }
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -165,7 +165,7 @@
                 return Err(None);
             }
         };
-        self.judge(group, &up, &answer, sent, self.inst.now());
+        self.judge(group, &up, &answer, sent, &channel);
         need.learn(&up, &answer, sent);
         match answer.code() {
             None => {}
@@ -200,7 +200,7 @@
                     return session.txn.report_lost();
                 }
             };
-            self.judge(&txn.group, &txn.up, &answer, sent, self.inst.now());
+            self.judge(&txn.group, &txn.up, &answer, sent, &txn.channel);
             // Provably not run, and the transaction goes on.
             let again =
                 matches!(answer.code(), Some(Code::Busy | Code::NoStatement)) && answer.txn == TxnState::Open;
@@ -252,7 +252,7 @@
                     };
                 }
             };
-            self.judge(&group, &up, &answer, sent, self.inst.now());
+            self.judge(&group, &up, &answer, sent, &channel);
             if answer.code() == Some(Code::Busy) && answer.txn == TxnState::Open && Instant::now() < self.end
             {
                 self.pause(&mut backoff).await;
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -6,10 +6,12 @@
         channel::{Relayed, RunError},
         group::Group,
         instance::{Clock, Instance, Micros, micros},
-        model::{Order, Server, Status},
+        model::{Answer, Code, Order, Server, Status},
         peer::Peer,
         pool::Pool,
-        settings::{DRAIN_USE, OVERDUE, OVERDUE_FACTOR, PROBE_PAUSE, RELAYS, UNFIT_PAUSE, UNREACHABLE_PAUSE},
+        settings::{
+            DRAIN_LATE, OVERDUE, OVERDUE_FACTOR, PROBE_PAUSE, RELAYS, UNFIT_PAUSE, UNREACHABLE_PAUSE,
+        },
         turnstile::Turnstile,
     },
     pondtrack_core::balance::{Lag, Pace},
@@ -22,6 +24,20 @@
     tokio::{sync::Notify, time::Instant},
 };
 
+/// After a server said that it is busy, others are preferred for this long.
+const BUSY_PAUSE: Duration = Duration::from_millis(15);
+
+/// A statement that was answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Exchange {
+    /// When it was sent.
+    pub sent: Micros,
+    /// It was slow if it took longer than this.
+    pub slow: Micros,
+    /// Whether it went over a connection of this instance.
+    pub direct: bool,
+}
+
 /// A server of a group.
 pub struct Upstream {
     /// Its place in the group's evidence.
@@ -130,9 +146,9 @@
     }
 
     /// Whether new work may go to it: not for long after it said that it leaves.
-    pub fn takes_work(&self, now: Micros) -> bool {
-        let limit = micros(DRAIN_USE);
-        !self.is_gone() && self.draining.get().is_none_or(|at| now.saturating_sub(at) < limit)
+    pub fn takes_work(&self, inst: &Instance) -> bool {
+        let limit = micros(inst.bounds.get().drain.saturating_sub(DRAIN_LATE));
+        !self.is_gone() && self.draining.get().is_none_or(|at| inst.now().saturating_sub(at) < limit)
     }
 
     /// Whether it has left the directory for good.
@@ -147,6 +163,36 @@
         self.refused.set(None);
     }
 
+    /// Draws conclusions from the answer to a statement.
+    pub fn judge(&self, inst: &Instance, group: &Group, answer: &Answer, run: Exchange) {
+        let now = inst.now();
+        let took = now.saturating_sub(run.sent);
+        self.answered(now);
+        match answer.code() {
+            None => {
+                self.took(took, now);
+                self.learn(run, took <= run.slow);
+                if let Some(at) = answer.mark {
+                    group.moved(self, at, run.sent);
+                }
+            }
+            Some(Code::Busy) => {
+                self.busy(now, BUSY_PAUSE);
+                self.learn(run, false);
+            }
+            Some(Code::Lagging) => self.busy(now, BUSY_PAUSE),
+            Some(Code::ReadOnly) => group.denied(self, now),
+            Some(_) => {}
+        }
+    }
+
+    /// Turns are those of statements over connections of this instance.
+    fn learn(&self, run: Exchange, quick: bool) {
+        if run.direct {
+            self.turns.learn(quick);
+        }
+    }
+
     /// It took this long for a statement.
     pub fn took(&self, took: Micros, now: Micros) {
         let mut it = self.pace.get();
--- a/crates/pondtrackd/src/hosted.rs
+++ b/crates/pondtrackd/src/hosted.rs
@@ -1,7 +1,7 @@
 //! An instance on the users' platform: the engine with the edge of `pondtrack-platform`.
 
 use {
-    crate::telemetry,
+    crate::{reload, telemetry},
     axum::{Router, http::StatusCode, routing},
     bpaf::Bpaf,
     pondtrack_engine::{
@@ -25,7 +25,7 @@
     },
     tokio::{
         net::TcpListener,
-        signal::unix::{Signal, SignalKind, signal},
+        signal::unix::{SignalKind, signal},
         sync::watch,
         task::LocalSet,
         time::{sleep, timeout},
@@ -105,20 +105,16 @@
 
 async fn run() -> Result<(), HostedError> {
     let boot = Boot::load()?;
-    let term = signal(SignalKind::terminate()).context(SignalsSnafu)?;
-    let reload = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    let mut term = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
     let edge = Edge {
         dialect: Box::new(Lines),
         store: Box::new(ObjectStore::new(boot.platform.addr)),
         promoter: Box::new(Orders::new(boot.orders.addr)),
     };
-    let own = settings::Settings {
-        name: boot.name.clone(),
-        zone: boot.zone.clone(),
-        peer_addr: boot.peer_addr(),
-        grace: boot.bounds.grace,
-    };
-    let inst = Instance::new(own, edge);
+    let own =
+        settings::Settings { name: boot.name.clone(), zone: boot.zone.clone(), peer_addr: boot.peer_addr() };
+    let inst = Instance::new(own, reload::bounds(&boot), edge);
     let callers = listen("callers", boot.listen.callers).await?;
     let ready = listen("ready", boot.listen.ready).await?;
     let links = listen("other instances", inst.settings.peer_addr).await?;
@@ -135,7 +131,9 @@
     let lease = tokio::task::spawn_local(lease::keep(inst.clone()));
     let accepting = tokio::task::spawn_local(session::accept(inst.clone(), callers));
     log::info!(instance = boot.name.as_str(), zone = boot.zone.as_str(), callers:% = boot.listen.callers; "up");
-    wait(term, reload).await;
+    tokio::task::spawn_local(reload::follow(inst.clone(), boot.clone(), hangup));
+    // It ends only with the process.
+    let _ = term.recv().await;
     inst.begin_leave();
     drain(&inst).await;
     accepting.abort();
@@ -152,19 +150,6 @@
     TcpListener::bind(SocketAddr::V4(addr)).await.context(ListenSnafu { what, addr })
 }
 
-/// Waits for the signal to end. Changed settings are checked; what can change takes effect at a restart.
-async fn wait(mut term: Signal, mut reload: Signal) {
-    loop {
-        tokio::select! {
-            _ = term.recv() => return,
-            _ = reload.recv() => match Boot::load() {
-                Ok(_) => log::info!("settings read again"),
-                Err(e) => log::error!(step = "reload"; "the settings in force are kept: {e}"),
-            },
-        }
-    }
-}
-
 /// Waits until all sessions have ended, for as long as the grace allows.
 async fn drain(inst: &Instance) {
     let quiet = async {
@@ -174,7 +159,7 @@
             sleep(END_PAUSE).await;
         }
     };
-    let limit = inst.settings.grace.saturating_sub(END_RESERVE);
+    let limit = inst.bounds.get().grace.saturating_sub(END_RESERVE);
     if timeout(limit, quiet).await.is_err() {
         log::warn!(sessions = inst.sessions.get(); "ends with work left");
     }
--- a/crates/pondtrackd/src/lib.rs
+++ b/crates/pondtrackd/src/lib.rs
@@ -6,6 +6,7 @@
 //! | module | holds |
 //! | --- | --- |
 //! | [`hosted`] | an instance on the users' platform |
+//! | [`reload`] | its settings, when they change |
 //! | [`settings`] | flags and environment variables, checked before anything listens |
 //! | [`node`] | what the parts of an instance share |
 //! | [`entry`] | callers' sessions |
@@ -30,6 +31,7 @@
 pub mod peers;
 pub mod planner;
 pub mod program;
+pub mod reload;
 pub mod run;
 pub mod settings;
 pub mod telemetry;
