Reads: a replica that was behind is tried again without news of it

Change: the estimate of a lag is bounded at 4 s and halves each second without news, as a server's pace does. Test: a_replica_that_nobody_asks_is_tried_again_after_a_while. The line about servers shows connections too.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -6,8 +6,12 @@
 
 /// The part of a new observation in the average.
 const WEIGHT: f64 = 0.2;
-/// Time after which an average without news counts half, so that a server that was slow is tried again.
+/// Time after which an estimate without news counts half, so that a server that was slow or behind is tried
+/// again.
 const HALF_LIFE: f64 = 1_000_000.0;
+/// The most that a replica is taken to be behind, in microseconds: above the ages that the users' routes
+/// allow, and little enough to be tried again soon.
+const LAG_MOST: Time = 4_000_000;
 /// What another availability zone costs: the crossing both ways, and the price of the bytes.
 const FAR: u64 = 6_000;
 /// What each statement of this instance costs that runs or waits at the server.
@@ -76,28 +80,42 @@
 }
 
 /// How far a replica is behind, learned from reads that it could and could not answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Lag(Time);
+///
+/// Without news the estimate shrinks, so that a replica that was passed over is tried again: nothing else
+/// would show that it has caught up.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Lag {
+    value: f64,
+    at: Time,
+}
 
 impl Lag {
-    /// The present estimate, in microseconds.
-    pub fn get(self) -> Time {
-        self.0
+    /// The estimate at a time, in microseconds.
+    pub fn get(self, now: Time) -> Time {
+        let quiet = now.saturating_sub(self.at) as f64;
+        (self.value * (-quiet / HALF_LIFE * std::f64::consts::LN_2).exp()) as Time
+    }
+
+    fn set(&mut self, lag: Time, now: Time) {
+        *self = Lag { value: lag.min(LAG_MOST) as f64, at: now };
     }
 
     /// The server states its lag.
-    pub fn stated(&mut self, lag: Time) {
-        self.0 = if lag > self.0 { lag } else { (self.0 * 3 + lag) / 4 };
+    pub fn stated(&mut self, lag: Time, now: Time) {
+        let old = self.get(now);
+        self.set(if lag > old { lag } else { (old * 3 + lag) / 4 }, now);
     }
 
-    /// The server had a position of this age.
-    pub fn reached(&mut self, age: Time) {
-        let lower = self.0.min(age);
-        self.0 = (self.0 * 9 + lower) / 10;
+    /// The server had a position of this age; an older one than the estimate says nothing.
+    pub fn reached(&mut self, age: Time, now: Time) {
+        let old = self.get(now);
+        if age < old {
+            self.set((old * 9 + age) / 10, now);
+        }
     }
 
     /// The server lacked a position of this age.
-    pub fn lacked(&mut self, age: Time) {
-        self.0 = self.0.max(age + age / 5);
+    pub fn lacked(&mut self, age: Time, now: Time) {
+        self.set(self.get(now).max(age + age / 5), now);
     }
 }
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -7,24 +7,38 @@
 #[test]
 fn a_replica_that_lacked_a_position_is_not_asked_again_for_one_as_young() {
     let mut it = Lag::default();
-    it.stated(0);
-    it.lacked(900 * MS);
-    assert!(it.get() > 900 * MS);
+    it.stated(0, 0);
+    it.lacked(900 * MS, 0);
+    assert!(it.get(0) > 900 * MS);
     // Having an older one doesn't show that it has caught up.
     for _ in 0..20 {
-        it.reached(5_000 * MS);
+        it.reached(5_000 * MS, 0);
     }
-    assert!(it.get() > 900 * MS, "{}", it.get());
+    assert!(it.get(0) > 900 * MS, "{}", it.get(0));
 }
 
 #[test]
 fn a_replica_that_has_caught_up_is_found_out() {
     let mut it = Lag::default();
-    it.lacked(900 * MS);
+    it.lacked(900 * MS, 0);
     for _ in 0..40 {
-        it.reached(50 * MS);
+        it.reached(50 * MS, 0);
     }
-    assert!(it.get() < 100 * MS, "{}", it.get());
+    assert!(it.get(0) < 100 * MS, "{}", it.get(0));
+}
+
+#[test]
+fn a_replica_that_nobody_asks_is_tried_again_after_a_while() {
+    let mut it = Lag::default();
+    // Found by the grown waterworks' day of high load: replicas that had been behind by 20 s were passed over
+    // for 20 s more by every instance that doesn't ask them itself.
+    it.stated(20_000 * MS, 0);
+    it.lacked(2_400 * MS, 0);
+    assert!(it.get(100 * MS) > 2_400 * MS, "{}", it.get(100 * MS));
+    assert!(it.get(3_000 * MS) < 600 * MS, "{}", it.get(3_000 * MS));
+    // One that is still behind is passed over again.
+    it.lacked(2_400 * MS, 3_000 * MS);
+    assert!(it.get(3_000 * MS) > 2_400 * MS);
 }
 
 #[test]
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -141,7 +141,7 @@
         it.status.set(Some((sent, status)));
         if status.role == Role::Replica {
             let mut lag = it.lag.get();
-            lag.stated(status.lag * 1_000);
+            lag.stated(status.lag * 1_000, now);
             it.lag.set(lag);
         }
         if status.term > self.term.get() {
@@ -244,7 +244,7 @@
         let now = inst.now();
         let age = now.saturating_sub(since) as f64;
         let caught_up = |it: &Upstream| {
-            self.primary.get() == Some(it.index) || age >= it.lag.get().get() as f64 * LAG_FACTOR
+            self.primary.get() == Some(it.index) || age >= it.lag.get().get(now) as f64 * LAG_FACTOR
         };
         let servers = self.servers();
         let usable = |it: &&Rc<Upstream>| caught_up(it) && it.silent.get().is_none() && it.takes_work(inst);
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -72,6 +72,16 @@
         self.most.set(most);
     }
 
+    /// Its connections, for a log line.
+    pub fn account(&self) -> String {
+        let (open, idle, waiting) = (self.open.get(), self.idle.borrow().len(), self.waiting.borrow().len());
+        format!(
+            "conns={open} idle={idle} share={} most={} wanted={waiting}",
+            self.share.get(),
+            self.most.get()
+        )
+    }
+
     /// Whether a connection can be had without a wait.
     pub fn is_free(&self) -> bool {
         !self.idle.borrow().is_empty() || self.may_open()
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -131,14 +131,14 @@
 
 impl Need {
     /// Learns from an answer how far a server is behind.
-    pub fn learn(&self, up: &Upstream, answer: &Answer, sent: Micros) {
+    pub fn learn(&self, up: &Upstream, answer: &Answer, sent: Micros, now: Micros) {
         if self.mark.is_none() {
             return;
         }
         let age = sent.saturating_sub(self.since);
         match answer.code() {
-            None => up.holds(age, true),
-            Some(Code::Lagging) => up.holds(age, false),
+            None => up.holds(age, true, now),
+            Some(Code::Lagging) => up.holds(age, false, now),
             Some(_) => {}
         }
     }
@@ -373,7 +373,7 @@
             }
         };
         self.judge(group, &up, &answer, sent, &channel);
-        need.learn(&up, &answer, sent);
+        need.learn(&up, &answer, sent, now);
         if answer.txn == TxnState::Idle && answer.code() != Some(Code::NoStatement) {
             channel.give_back();
         }
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -166,7 +166,7 @@
             }
         };
         self.judge(group, &up, &answer, sent, &channel);
-        need.learn(&up, &answer, sent);
+        need.learn(&up, &answer, sent, self.inst.now());
         match answer.code() {
             None => {}
             Some(code) => {
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -135,14 +135,15 @@
     pub fn account(&self, now: Micros) -> String {
         let role = self.status.get().map_or("unknown", |it| it.1.role.into());
         let took_ms = self.pace.get().expected(now) as u64 / 1_000;
-        let lag_ms = self.lag.get().get() / 1_000;
+        let lag_ms = self.lag.get().get(now) / 1_000;
         let reach = match (self.home.get(), self.direct.get()) {
             (true, true) => "direct",
             (true, false) => "lost",
             (false, _) => "relayed",
         };
         let id = self.entry().id.clone();
-        format!("{id} {role} {reach} took_ms={took_ms} lag_ms={lag_ms} {}", self.turns.account())
+        let (pool, turns) = (self.pool.account(), self.turns.account());
+        format!("{id} {role} {reach} took_ms={took_ms} lag_ms={lag_ms} {pool} {turns}")
     }
 
     /// Whether new work may go to it: not for long after it said that it leaves.
@@ -317,12 +318,11 @@
     }
 
     /// A read showed that its log holds, or lacks, a position of this age.
-    pub fn holds(&self, age: Micros, holds: bool) {
+    pub fn holds(&self, age: Micros, holds: bool, now: Micros) {
         let mut it = self.lag.get();
-        if holds {
-            it.reached(age)
-        } else {
-            it.lacked(age)
+        match holds {
+            true => it.reached(age, now),
+            false => it.lacked(age, now),
         }
         self.lag.set(it);
     }
