Statements: what reached no server is answered as not run, and resting transactions don't take all connections

Change: a try knows whether anything was sent; an instance answers another 25 ms before the other's time ends, and says late apart from lost; a home that had too much to do is passed over for 60 ms, and past the hold the caller is told at once. Where transactions rest on all connections of an instance, another one runs the statement. Reads and writes moved to files of their own.

--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -10,7 +10,7 @@
         pool::Lease,
         ports::{Forward, Text},
         session::Prepared,
-        settings::PREPARED_MOST,
+        settings::{ANSWER_BACK, PREPARED_MOST},
         turnstile::{Permit, Turnstile},
     },
     bytes::BytesMut,
@@ -81,7 +81,7 @@
             RunError::NotSent { reason } => Told::NotSent(reason),
             RunError::Busy => Told::Busy,
             RunError::Gone => Told::Gone,
-            RunError::Late => Told::Broken(it.to_string()),
+            RunError::Late => Told::Late,
             RunError::Broken { reason } => Told::Broken(reason),
         }
     }
@@ -103,6 +103,8 @@
     pub turns: Rc<Turnstile>,
     /// A turn that was taken before there was a connection.
     pub permit: Option<Permit>,
+    /// Whether the last statement was sent.
+    sent: bool,
 }
 
 /// A stream at another instance.
@@ -149,7 +151,7 @@
             server: self.server.clone(),
             rank: it.rank.map(|it| Rank { aim: it.aim.saturating_sub(inst.now()), ..it }),
             wait_ms: left(self.until),
-            left_ms: left(it.end),
+            left_ms: left(it.end - ANSWER_BACK),
             slow: it.slow,
             values: it.values.map(|it| it.to_vec()).unwrap_or_default(),
             named: it.named.cloned(),
@@ -163,6 +165,7 @@
             Told::NotSent(reason) => Err(RunError::NotSent { reason }),
             Told::Busy => Err(RunError::Busy),
             Told::Gone => Err(RunError::Gone),
+            Told::Late => Err(RunError::Late),
             Told::Broken(reason) => Err(RunError::Broken { reason }),
             Told::Status(_) | Told::Desired { .. } | Told::Directory { .. } => {
                 Err(RunError::Broken { reason: "another answer than asked for".to_owned() })
@@ -184,13 +187,25 @@
     /// Sends and waits for the answer.
     pub async fn run(&mut self, inst: &Instance, it: Sending<'_>) -> Result<Answer, RunError> {
         let end = it.end;
-        let work = async {
-            match self {
-                Channel::Direct(direct) => direct.run(inst, it).await,
-                Channel::Relayed(relayed) => relayed.run(inst, it).await,
+        match self {
+            Channel::Direct(direct) => match timeout_at(end, direct.run(inst, it)).await {
+                Ok(it) => it,
+                Err(_) if direct.sent => Err(RunError::Late),
+                Err(_) => Err(RunError::Busy),
+            },
+            Channel::Relayed(relayed) => {
+                timeout_at(end, relayed.run(inst, it)).await.unwrap_or(Err(RunError::Late))
             }
-        };
-        timeout_at(end, work).await.unwrap_or(Err(RunError::Late))
+        }
+    }
+
+    /// A transaction rests on it from now on.
+    pub fn pin(&mut self) {
+        match self {
+            Channel::Direct(direct) => direct.lease.pin(),
+            // The other instance knows.
+            Channel::Relayed(_) => {}
+        }
     }
 
     /// The instance that it goes through, if it does.
@@ -220,14 +235,20 @@
 }
 
 impl Direct {
+    /// A connection, and a turn if one was taken.
+    pub fn new(lease: Lease, turns: Rc<Turnstile>, permit: Option<Permit>) -> Direct {
+        Direct { lease, turns, permit, sent: false }
+    }
+
     async fn run(&mut self, inst: &Instance, it: Sending<'_>) -> Result<Answer, RunError> {
+        self.sent = false;
         let permit = match (self.permit.take(), it.rank) {
             (Some(it), _) => Some(it),
             (None, Some(rank)) => Some(self.turns.enter(rank, it.end).await.ok_or(RunError::Busy)?),
             (None, None) => None,
         };
         let (sent, pool) = (Instant::now(), self.lease.pool());
-        let work = run_on(inst, &mut self.lease, it);
+        let work = run_on(inst, &mut self.lease, it, &mut self.sent);
         tokio::pin!(work);
         if let Ok(it) = timeout(it.overdue, &mut work).await {
             return it;
@@ -238,7 +259,13 @@
     }
 }
 
-async fn run_on(inst: &Instance, lease: &mut Lease, it: Sending<'_>) -> Result<Answer, RunError> {
+/// Runs a statement on a connection; says in `sent` when the server may have it.
+async fn run_on(
+    inst: &Instance,
+    lease: &mut Lease,
+    it: Sending<'_>,
+    sent: &mut bool,
+) -> Result<Answer, RunError> {
     if let Some(values) = it.values
         && !align(inst, lease, values, it.named).await
     {
@@ -252,6 +279,7 @@
     }
     let broken = |reason: &dyn ToString| RunError::Broken { reason: reason.to_string() };
     let conn = lease.conn().ok_or_else(|| broken(&"the connection was given back"))?;
+    *sent = true;
     conn.send(&out).await.map_err(|e| broken(&e))?;
     conn.next(dialect).await.map_err(|e| broken(&e))
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -17,7 +17,7 @@
 //! | [`conn`], [`pool`], [`turnstile`] | connections to servers, and turns at them |
 //! | [`channel`] | a way to a server: a connection, or another instance |
 //! | [`peer`], [`relay`] | links between instances, and statements run for others |
-//! | [`session`], [`statement`], [`txn`] | callers |
+//! | [`session`], [`statement`], [`read`], [`write`](mod@write), [`txn`] | callers |
 //! | [`lease`], [`takeover`] | the right to give orders, and changes of primary |
 //! | [`count`], [`report`] | counters and histograms, and a line that shows them |
 
@@ -33,6 +33,7 @@
 pub mod peer;
 pub mod pool;
 pub mod ports;
+pub mod read;
 pub mod relay;
 pub mod report;
 pub mod session;
@@ -43,3 +44,4 @@
 pub mod turnstile;
 pub mod txn;
 pub mod upstream;
+pub mod write;
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -178,6 +178,8 @@
     Status(Option<Status>),
     /// Nothing was sent: nobody listens at the server's address.
     Gone,
+    /// It was sent, and not answered in time.
+    Late,
     /// The configuration.
     Desired {
         /// The store's revision.
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -63,6 +63,8 @@
     share: Cell<usize>,
     most: Cell<usize>,
     full: Cell<Option<Instant>>,
+    /// Connections on which transactions rest.
+    pinned: Cell<usize>,
 }
 
 impl Pool {
@@ -75,11 +77,8 @@
     /// Its connections, for a log line.
     pub fn account(&self) -> String {
         let (open, idle, waiting) = (self.open.get(), self.idle.borrow().len(), self.waiting.borrow().len());
-        format!(
-            "conns={open} idle={idle} share={} most={} wanted={waiting}",
-            self.share.get(),
-            self.most.get()
-        )
+        let (share, most, pinned) = (self.share.get(), self.most.get(), self.pinned.get());
+        format!("conns={open} idle={idle} pinned={pinned} share={share} most={most} wanted={waiting}")
     }
 
     /// Whether a connection can be had without a wait.
@@ -87,6 +86,11 @@
         !self.idle.borrow().is_empty() || self.may_open()
     }
 
+    /// Whether transactions rest on all the connections that this instance may have.
+    pub fn is_pinned(&self) -> bool {
+        self.pinned.get() >= self.most.get().max(1)
+    }
+
     /// Lends a connection.
     pub async fn lend(
         self: &Rc<Self>,
@@ -96,7 +100,13 @@
     ) -> Result<Lease, Denied> {
         loop {
             if let Some(conn) = self.take_idle(want.values.as_ref()) {
-                return Ok(Lease { pool: self.clone(), conn: Some(conn), returned: false, new: false });
+                return Ok(Lease {
+                    pool: self.clone(),
+                    conn: Some(conn),
+                    returned: false,
+                    new: false,
+                    pinned: false,
+                });
             }
             if self.may_open() {
                 match self.open(inst, server).await {
@@ -166,7 +176,7 @@
     async fn open(self: &Rc<Self>, inst: &Instance, server: &Server) -> Result<Lease, ConnError> {
         // Counted before it is there, so that callers at the same time don't open too many.
         self.open.set(self.open.get() + 1);
-        let mut place = Lease { pool: self.clone(), conn: None, returned: false, new: true };
+        let mut place = Lease { pool: self.clone(), conn: None, returned: false, new: true, pinned: false };
         inst.counters.one(Count::Opened);
         match Conn::open(inst.edge.dialect.as_ref(), server).await {
             Ok(conn) => {
@@ -214,6 +224,8 @@
     returned: bool,
     /// Whether it was opened for this loan.
     new: bool,
+    /// Whether a transaction rests on it.
+    pinned: bool,
 }
 
 impl Lease {
@@ -232,10 +244,24 @@
         self.new
     }
 
+    /// A transaction rests on it until it is given back or closed.
+    pub fn pin(&mut self) {
+        if !std::mem::replace(&mut self.pinned, true) {
+            self.pool.pinned.set(self.pool.pinned.get() + 1);
+        }
+    }
+
+    fn unpin(&mut self) {
+        if std::mem::replace(&mut self.pinned, false) {
+            self.pool.pinned.set(self.pool.pinned.get() - 1);
+        }
+    }
+
     /// Gives the connection back for others.
     pub fn give_back(self) {
         let mut lease = self;
         lease.new = false;
+        lease.unpin();
         while let Some(waiter) = lease.pool.next_waiter() {
             match waiter.turn.send(Some(lease)) {
                 Ok(()) => return,
@@ -253,6 +279,7 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
+        self.unpin();
         if self.returned {
             return;
         }
--- /dev/null
+++ b/crates/engine/src/read.rs
@@ -0,0 +1,222 @@
+//! Reads outside a transaction.
+//!
+//! A read goes to any server whose log holds what the read has to show: the position goes along with the
+//! read, and a server that lacks it doesn't run it.
+
+use {
+    crate::{
+        channel::{Channel, RunError},
+        count::Count,
+        group::Group,
+        instance::Micros,
+        model::{Answer, Code, ReadPolicy, TxnState},
+        session::Session,
+        settings::{HEDGE_SHARE, RETRY_PAUSE, TRIES},
+        statement::{Miss, Need, Work, busy},
+        upstream::Upstream,
+    },
+    futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
+    pondtrack_core::retry::Backoff,
+    std::{rc::Rc, time::Duration},
+    tokio::time::{Instant, timeout, timeout_at},
+};
+
+/// Time after which a server that owes an answer nobody waits for loses its connection.
+const REAP_LIMIT: Duration = Duration::from_secs(3);
+
+/// A read at a server.
+struct Flight {
+    up: Rc<Upstream>,
+    channel: Channel,
+    need: Need,
+    sent: Micros,
+    got: Result<Answer, RunError>,
+}
+
+/// A read at a server that will be answered.
+type Landing = LocalBoxFuture<'static, Flight>;
+type Flights = FuturesUnordered<Landing>;
+
+/// What became of one try.
+enum Landed {
+    /// The answer for the caller.
+    Done(Answer),
+    /// It ran, and failed.
+    Failed(Answer),
+    /// It may have run.
+    Lost,
+    /// It did not run, as there was too much to do.
+    Full,
+    /// It did not run.
+    NotRun,
+}
+
+/// What the tries of a read came to so far.
+#[derive(Default)]
+struct Tries {
+    /// The servers that were tried.
+    tried: Vec<usize>,
+    /// The answer to the last try that ran and failed.
+    failed: Option<Answer>,
+    /// Whether another may have run.
+    lost: bool,
+}
+
+impl Tries {
+    /// The answer to a read that is given up.
+    fn outcome(self, why: &str) -> Answer {
+        match self.failed {
+            Some(it) => it,
+            None if self.lost => Answer::error(Code::Timeout, "no answer in time", TxnState::Idle),
+            None => busy(why, TxnState::Idle),
+        }
+    }
+}
+
+impl Work<'_> {
+    /// Answers a read.
+    pub async fn read(&self, session: &Session) -> Answer {
+        let Some(group) = self.inst.group(&self.route.group) else {
+            return busy("the group has no servers", TxnState::Idle);
+        };
+        let latest = self.route.policy == ReadPolicy::Latest;
+        let term = group.term();
+        let mut tries = Tries::default();
+        let mut flights: Flights = FuturesUnordered::new();
+        let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
+        let mut hedge = Some(self.arrived);
+        while tries.tried.len() < TRIES && Instant::now() < self.end {
+            if flights.is_empty() {
+                match self.launch(session, &group, &mut tries.tried).await {
+                    Ok(it) => flights.push(it),
+                    Err(Miss::Late(why)) => return tries.outcome(why),
+                    Err(Miss::Again) => {
+                        self.pause(&mut backoff).await;
+                        continue;
+                    }
+                }
+                hedge = hedge.map(|_| Instant::now() + self.route.objective.mul_f64(HEDGE_SHARE));
+            }
+            let limit = hedge.filter(|_| !latest).unwrap_or(self.end).min(self.end);
+            let flight = match timeout_at(limit, flights.next()).await {
+                Ok(Some(it)) => it,
+                Ok(None) => continue,
+                Err(_) => {
+                    hedge = None;
+                    flights.extend(self.hedge(session, &group, &mut tries.tried).await);
+                    continue;
+                }
+            };
+            match self.landed(&group, flight) {
+                Landed::Done(answer) => {
+                    reap(flights);
+                    if latest && !group.confirm(&self.inst, term, self.since, self.end).await {
+                        return busy("the primary isn't confirmed", TxnState::Idle);
+                    }
+                    return answer;
+                }
+                Landed::Failed(answer) => tries.failed = Some(answer),
+                Landed::Lost => tries.lost = true,
+                Landed::Full if flights.is_empty() && self.is_held() => {
+                    return tries.outcome("too much to do");
+                }
+                Landed::Full | Landed::NotRun => {}
+            }
+            self.inst.counters.one(Count::Retries);
+            if tries.tried.len() >= group.servers().len() {
+                self.pause(&mut backoff).await;
+            }
+        }
+        tries.lost |= !flights.is_empty();
+        reap(flights);
+        tries.outcome("no server takes the read")
+    }
+
+    /// Sends a read that has no answer yet to another server, if one is left.
+    async fn hedge(&self, session: &Session, group: &Rc<Group>, tried: &mut Vec<usize>) -> Option<Landing> {
+        let old = tried.clone();
+        let it = self.launch(session, group, tried).await.ok()?;
+        if tried.last().is_some_and(|it| old.contains(it)) {
+            return None;
+        }
+        self.inst.counters.one(Count::Hedges);
+        Some(it)
+    }
+
+    /// Sends a read to the best server.
+    async fn launch(
+        &self,
+        session: &Session,
+        group: &Rc<Group>,
+        tried: &mut Vec<usize>,
+    ) -> Result<Landing, Miss> {
+        let need = self.need(session, group).await?;
+        let up = match need.mark {
+            Some(_) => group.choose(&self.inst, need.since, tried),
+            None => None,
+        };
+        let up = match up {
+            Some(it) => it,
+            None => group
+                .wait_primary(&self.inst, self.end)
+                .await
+                .ok_or(Miss::Late("the group has no primary"))?,
+        };
+        tried.push(up.index);
+        // Another server is tried soon, if there is one.
+        let others = tried.len() < group.servers().len();
+        let until = if others { Instant::now() + self.route.objective / 4 } else { self.end };
+        let mut channel = self.reach(session, &up, until).await?;
+        let parcel = self.parcel(session, need.mark);
+        let inst = self.inst.clone();
+        let sent = inst.now();
+        Ok(Box::pin(async move {
+            let got = parcel.run(&inst, &up, &mut channel).await;
+            Flight { up, channel, need, sent, got }
+        }))
+    }
+
+    fn landed(&self, group: &Group, flight: Flight) -> Landed {
+        let Flight { up, channel, need, sent, got } = flight;
+        let now = self.inst.now();
+        let answer = match got {
+            Ok(it) => it,
+            Err(e) => {
+                up.missed(&e, channel.via(), sent, now);
+                return match e {
+                    RunError::Busy => Landed::Full,
+                    RunError::NotSent { .. } | RunError::Gone => Landed::NotRun,
+                    RunError::Broken { .. } | RunError::Late => Landed::Lost,
+                };
+            }
+        };
+        self.judge(group, &up, &answer, sent, &channel);
+        need.learn(&up, &answer, sent, now);
+        if answer.txn == TxnState::Idle && answer.code() != Some(Code::NoStatement) {
+            channel.give_back();
+        }
+        match answer.code() {
+            None => {
+                let replica = group.primary().is_none_or(|it| it.index != up.index);
+                self.inst.counters.one(if replica { Count::ReplicaReads } else { Count::PrimaryReads });
+                Landed::Done(answer)
+            }
+            Some(code) if code.not_run() => Landed::NotRun,
+            Some(Code::Failed | Code::Timeout) => Landed::Failed(answer),
+            Some(_) => Landed::Done(answer),
+        }
+    }
+}
+
+/// Leaves statements whose answers nobody waits for to end on their own.
+fn reap(flights: Flights) {
+    for it in flights {
+        tokio::task::spawn_local(async move {
+            if let Ok(Flight { channel, got: Ok(answer), .. }) = timeout(REAP_LIMIT, it).await
+                && answer.txn == TxnState::Idle
+            {
+                channel.give_back();
+            }
+        });
+    }
+}
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -99,6 +99,9 @@
             if !up.is_reachable() {
                 return Told::NotSent("the server isn't reachable from here".to_owned());
             }
+            if up.pool.is_pinned() {
+                return Told::Busy;
+            }
             let until = (now + Duration::from_millis(it.wait_ms.into())).min(end);
             let permit = match rank {
                 Some(rank) => match up.turns.enter(rank, until).await {
@@ -109,7 +112,7 @@
             };
             let want = Want { priority: rank.map_or(0, |it| it.priority), until, values: None };
             match up.pool.lend(inst, &up.entry(), want).await {
-                Ok(lease) => Channel::Direct(Direct { lease, turns: up.turns.clone(), permit }),
+                Ok(lease) => Channel::Direct(Direct::new(lease, up.turns.clone(), permit)),
                 Err(Denied::Busy | Denied::Full) => return Told::Busy,
                 Err(Denied::Unreachable(e)) => {
                     up.failed(inst.now(), e.is_refusal());
@@ -145,6 +148,7 @@
         TxnState::Idle => channel.give_back(),
         // A link that has closed meanwhile takes its transactions with it.
         TxnState::Open | TxnState::Failed if !out.is_closed() => {
+            channel.pin();
             let mut streams = streams.borrow_mut();
             let at = streams.partition_point(|old| old.0 < it.stream);
             streams.insert(at, (it.stream, channel));
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -72,6 +72,11 @@
 pub const PROBE_PAUSE: Duration = Duration::from_millis(1_000);
 /// Another instance that couldn't reach a server isn't asked for it again for this long.
 pub const UNFIT_PAUSE: Duration = Duration::from_millis(1_000);
+/// How much sooner than its own caller's time ends an instance wants the answer of another: a crossing of zones
+/// both ways, and a look at the answer.
+pub const ANSWER_BACK: Duration = Duration::from_millis(25);
+/// Another instance that had too much to do isn't asked for a server again for this long.
+pub const FULL_PEER_PAUSE: Duration = Duration::from_millis(60);
 /// Most instances that are asked to put a question.
 pub const RELAYS: usize = 4;
 /// Between two rounds of questions for the primary while there is none.
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -1,8 +1,4 @@
-//! Statements outside a transaction.
-//!
-//! A read goes to any server whose log holds what the read has to show: the position goes along with the
-//! read, and a server that lacks it doesn't run it. A write goes to the primary, and is acknowledged once
-//! a replica has received it.
+//! A statement on its way: what it needs, how it gets to a server, and what its answer shows.
 
 use {
     crate::{
@@ -15,23 +11,16 @@
         pool::{Denied, Want},
         ports::{Forward, Text},
         session::{Prepared, Session, text},
-        settings::{
-            AGE_MARGIN, COME_BACK_MS, HEDGE_SHARE, HOLD_SHARE, PATIENCE, RETRY_PAUSE, SLOW_SHARE, TRIES,
-            TXN_STATEMENTS,
-        },
+        settings::{AGE_MARGIN, COME_BACK_MS, HOLD_SHARE, PATIENCE, SLOW_SHARE, TXN_STATEMENTS},
         upstream::{Exchange, Upstream},
     },
     bytes::Bytes,
-    futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
     pondtrack_core::{retry::Backoff, turn::Rank},
     pondtrack_proto::Mark,
     std::{rc::Rc, time::Duration},
-    tokio::time::{Instant, sleep_until, timeout, timeout_at},
+    tokio::time::{Instant, sleep_until, timeout},
 };
 
-/// Time after which a server that owes an answer nobody waits for loses its connection.
-const REAP_LIMIT: Duration = Duration::from_secs(3);
-
 /// A statement on its way.
 pub struct Work<'a> {
     /// The instance.
@@ -50,20 +39,6 @@
     pub end: Instant,
 }
 
-/// A statement at a server.
-pub struct Flight {
-    /// The server.
-    pub up: Rc<Upstream>,
-    /// The way to it.
-    pub channel: Channel,
-    /// What the read has to show.
-    pub need: Need,
-    /// When it was sent.
-    pub sent: Micros,
-    /// The answer.
-    pub got: Result<Answer, RunError>,
-}
-
 /// A statement with all that goes along to a server.
 pub struct Parcel {
     id: Bytes,
@@ -116,10 +91,6 @@
     }
 }
 
-/// A statement at a server that will be answered.
-type Landing = LocalBoxFuture<'static, Flight>;
-type Flights = FuturesUnordered<Landing>;
-
 /// What a read has to show.
 #[derive(Clone, Copy, Debug)]
 pub struct Need {
@@ -181,101 +152,6 @@
         Work { inst, route, it, named, arrived, since, end }
     }
 
-    /// Answers a read.
-    pub async fn read(&self, session: &Session) -> Answer {
-        let Some(group) = self.inst.group(&self.route.group) else {
-            return busy("the group has no servers", TxnState::Idle);
-        };
-        let latest = self.route.policy == ReadPolicy::Latest;
-        let term = group.term();
-        let mut tried = Vec::new();
-        let mut flights: Flights = FuturesUnordered::new();
-        let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
-        let mut hedge = Some(self.arrived);
-        let mut last = None;
-        while tried.len() < TRIES && Instant::now() < self.end {
-            if flights.is_empty() {
-                match self.launch(session, &group, &mut tried).await {
-                    Ok(it) => flights.push(it),
-                    Err(Miss::Late(why)) => return last.unwrap_or_else(|| busy(why, TxnState::Idle)),
-                    Err(Miss::Again) => {
-                        self.pause(&mut backoff).await;
-                        continue;
-                    }
-                }
-                hedge = hedge.map(|_| Instant::now() + self.route.objective.mul_f64(HEDGE_SHARE));
-            }
-            let limit = hedge.filter(|_| !latest).unwrap_or(self.end).min(self.end);
-            let flight = match timeout_at(limit, flights.next()).await {
-                Ok(Some(it)) => it,
-                Ok(None) => continue,
-                Err(_) => {
-                    hedge = None;
-                    flights.extend(self.hedge(session, &group, &mut tried).await);
-                    continue;
-                }
-            };
-            match self.landed(&group, flight) {
-                Ok(answer) => {
-                    reap(flights);
-                    if latest && !group.confirm(&self.inst, term, self.since, self.end).await {
-                        return busy("the primary isn't confirmed", TxnState::Idle);
-                    }
-                    return answer;
-                }
-                Err(it) => last = it.or(last),
-            }
-            self.inst.counters.one(Count::Retries);
-            if tried.len() >= group.servers().len() {
-                self.pause(&mut backoff).await;
-            }
-        }
-        reap(flights);
-        last.unwrap_or_else(|| Answer::error(Code::Timeout, "no answer in time", TxnState::Idle))
-    }
-
-    /// Sends a read that has no answer yet to another server, if one is left.
-    async fn hedge(&self, session: &Session, group: &Rc<Group>, tried: &mut Vec<usize>) -> Option<Landing> {
-        let old = tried.clone();
-        let it = self.launch(session, group, tried).await.ok()?;
-        if tried.last().is_some_and(|it| old.contains(it)) {
-            return None;
-        }
-        self.inst.counters.one(Count::Hedges);
-        Some(it)
-    }
-
-    /// Sends a read to the best server.
-    async fn launch(
-        &self,
-        session: &Session,
-        group: &Rc<Group>,
-        tried: &mut Vec<usize>,
-    ) -> Result<Landing, Miss> {
-        let need = self.need(session, group).await?;
-        let up = match need.mark {
-            Some(_) => group.choose(&self.inst, need.since, tried),
-            None => None,
-        };
-        let up = match up {
-            Some(it) => it,
-            None => group
-                .wait_primary(&self.inst, self.end)
-                .await
-                .ok_or(Miss::Late("the group has no primary"))?,
-        };
-        tried.push(up.index);
-        let wait = self.route.objective / 4;
-        let mut channel = self.reach(session, &up, Instant::now() + wait).await?;
-        let parcel = self.parcel(session, need.mark);
-        let inst = self.inst.clone();
-        let sent = inst.now();
-        Ok(Box::pin(async move {
-            let got = parcel.run(&inst, &up, &mut channel).await;
-            Flight { up, channel, need, sent, got }
-        }))
-    }
-
     /// What the read has to show.
     pub async fn need(&self, session: &Session, group: &Group) -> Result<Need, Miss> {
         let Some(age) = self.route.policy.age() else { return Ok(Need { mark: None, since: 0 }) };
@@ -294,17 +170,19 @@
         if !up.is_reachable() {
             return self.relay(up, until).await;
         }
+        // Transactions may rest on connections for long; others have theirs free.
+        if up.pool.is_pinned()
+            && let Ok(it) = self.relay(up, until).await
+        {
+            return Ok(it);
+        }
         let Some(permit) = up.turns.enter(self.rank(), until).await else {
-            return Err(if Instant::now() >= self.hold() {
-                Miss::Late("too much to do")
-            } else {
-                Miss::Again
-            });
+            return Err(if self.is_held() { Miss::Late("too much to do") } else { Miss::Again });
         };
         let want = Want { priority: self.route.priority, until, values: Some(session.values.clone()) };
         match up.pool.lend(&self.inst, &up.entry(), want).await {
-            Ok(lease) => Ok(Channel::Direct(Direct { lease, turns: up.turns.clone(), permit: Some(permit) })),
-            Err(Denied::Busy) if Instant::now() >= self.hold() => Err(Miss::Late("no connection is free")),
+            Ok(lease) => Ok(Channel::Direct(Direct::new(lease, up.turns.clone(), Some(permit)))),
+            Err(Denied::Busy) if self.is_held() => Err(Miss::Late("no connection is free")),
             Err(Denied::Busy) => Err(Miss::Again),
             Err(Denied::Full) => self.relay(up, until).await,
             Err(Denied::Unreachable(e)) => {
@@ -328,6 +206,11 @@
         self.arrived + self.route.timeout.mul_f64(HOLD_SHARE)
     }
 
+    /// Whether it has waited for as long as that.
+    pub fn is_held(&self) -> bool {
+        Instant::now() >= self.hold()
+    }
+
     fn rank(&self) -> Rank {
         let statements = if matches!(self.it.verb, Verb::Begin(_)) { TXN_STATEMENTS } else { 1 };
         Rank {
@@ -361,34 +244,6 @@
         micros(self.route.objective.mul_f64(SLOW_SHARE))
     }
 
-    /// Takes the answer to a read: the answer for the caller, or the error of a try that failed.
-    fn landed(&self, group: &Group, flight: Flight) -> Result<Answer, Option<Answer>> {
-        let Flight { up, channel, need, sent, got } = flight;
-        let now = self.inst.now();
-        let answer = match got {
-            Ok(it) => it,
-            Err(e) => {
-                up.missed(&e, channel.via(), sent, now);
-                return Err(None);
-            }
-        };
-        self.judge(group, &up, &answer, sent, &channel);
-        need.learn(&up, &answer, sent, now);
-        if answer.txn == TxnState::Idle && answer.code() != Some(Code::NoStatement) {
-            channel.give_back();
-        }
-        match answer.code() {
-            None => {
-                let replica = group.primary().is_none_or(|it| it.index != up.index);
-                self.inst.counters.one(if replica { Count::ReplicaReads } else { Count::PrimaryReads });
-                Ok(answer)
-            }
-            Some(code) if code.not_run() => Err(None),
-            Some(Code::Failed | Code::Timeout) => Err(Some(answer)),
-            Some(_) => Ok(answer),
-        }
-    }
-
     /// Draws conclusions from an answer.
     pub fn judge(&self, group: &Group, up: &Upstream, answer: &Answer, sent: Micros, channel: &Channel) {
         let direct = channel.via().is_none();
@@ -404,55 +259,6 @@
         }
     }
 
-    /// Answers a write.
-    pub async fn write(&self, session: &mut Session) -> Answer {
-        let Some(group) = self.inst.group(&self.route.group) else {
-            return busy("the group has no servers", TxnState::Idle);
-        };
-        let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
-        for _ in 0..TRIES {
-            let Some(up) = group.wait_primary(&self.inst, self.end).await else {
-                return busy("the group has no primary", TxnState::Idle);
-            };
-            let mut channel = match self.reach(session, &up, self.end).await {
-                Ok(it) => it,
-                Err(Miss::Late(why)) => return busy(why, TxnState::Idle),
-                Err(Miss::Again) => {
-                    self.pause(&mut backoff).await;
-                    continue;
-                }
-            };
-            let sent = self.inst.now();
-            let answer = match self.parcel(session, None).run(&self.inst, &up, &mut channel).await {
-                Ok(it) => it,
-                Err(e) => {
-                    up.missed(&e, channel.via(), sent, self.inst.now());
-                    match e {
-                        RunError::NotSent { .. } | RunError::Busy | RunError::Gone => {
-                            self.pause(&mut backoff).await;
-                            continue;
-                        }
-                        RunError::Late => {
-                            return Answer::error(Code::Timeout, text(e.to_string()), TxnState::Idle);
-                        }
-                        RunError::Broken { .. } => return unknown(&e.to_string()),
-                    }
-                }
-            };
-            self.judge(&group, &up, &answer, sent, &channel);
-            if answer.txn == TxnState::Idle && answer.code() != Some(Code::NoStatement) {
-                channel.give_back();
-            }
-            match answer.code() {
-                None => return self.acknowledge(session, &group, answer).await,
-                Some(code) if code.not_run() => self.pause(&mut backoff).await,
-                Some(_) => return answer,
-            }
-            self.inst.counters.one(Count::Retries);
-        }
-        busy("the primary doesn't take the statement", TxnState::Idle)
-    }
-
     /// Holds the answer to a commit until a replica has it.
     pub async fn acknowledge(&self, session: &mut Session, group: &Group, answer: Answer) -> Answer {
         let Some(mark) = answer.mark else { return answer };
@@ -477,16 +283,3 @@
 pub fn unknown(why: &str) -> Answer {
     Answer::error(Code::Unknown, text(why), TxnState::Idle)
 }
-
-/// Leaves statements whose answers nobody waits for to end on their own.
-fn reap(flights: Flights) {
-    for it in flights {
-        tokio::task::spawn_local(async move {
-            if let Ok(Flight { channel, got: Ok(answer), .. }) = timeout(REAP_LIMIT, it).await
-                && answer.txn == TxnState::Idle
-            {
-                channel.give_back();
-            }
-        });
-    }
-}
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -181,6 +181,7 @@
         {
             return Err(Some(busy("the primary isn't confirmed", TxnState::Idle)));
         }
+        channel.pin();
         let (inst, group, route) = (self.inst.clone(), group.clone(), self.route.clone());
         Ok(OpenTxn { inst, group, up, route, channel, state: TxnState::Open, wrote: false })
     }
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -10,7 +10,8 @@
         peer::Peer,
         pool::Pool,
         settings::{
-            DRAIN_LATE, OVERDUE, OVERDUE_FACTOR, PROBE_PAUSE, RELAYS, UNFIT_PAUSE, UNREACHABLE_PAUSE,
+            DRAIN_LATE, FULL_PEER_PAUSE, OVERDUE, OVERDUE_FACTOR, PROBE_PAUSE, RELAYS, UNFIT_PAUSE,
+            UNREACHABLE_PAUSE,
         },
         turnstile::Turnstile,
     },
@@ -242,9 +243,12 @@
     /// A statement sent at `sent` has no answer.
     pub fn missed(&self, e: &RunError, via: Option<&Name>, sent: Micros, now: Micros) {
         match (e, via) {
-            (RunError::Busy, _) => self.busy(now, UNREACHABLE_PAUSE / 10),
+            (RunError::Busy, Some(peer)) => self.unfit(peer, now, FULL_PEER_PAUSE),
+            (RunError::Busy, None) => self.busy(now, UNREACHABLE_PAUSE / 10),
             (RunError::Gone, _) => self.failed(now, true),
-            (RunError::NotSent { .. } | RunError::Broken { .. }, Some(peer)) => self.unfit(peer, now),
+            (RunError::NotSent { .. } | RunError::Broken { .. }, Some(peer)) => {
+                self.unfit(peer, now, UNFIT_PAUSE)
+            }
             (RunError::NotSent { .. }, None) => self.ask(),
             (RunError::Broken { .. } | RunError::Late, _) => {
                 self.unanswered(sent);
@@ -274,11 +278,11 @@
         peers.find(|it| it.is_usable(now))
     }
 
-    /// Another instance couldn't reach it.
-    pub fn unfit(&self, peer: &Name, now: Micros) {
+    /// Another instance couldn't do it, and is passed over for a while.
+    pub fn unfit(&self, peer: &Name, now: Micros, pause: Duration) {
         let mut unfit = self.unfit.borrow_mut();
         unfit.retain(|it| it.1 > now && it.0 != *peer);
-        unfit.push((peer.clone(), now + micros(UNFIT_PAUSE)));
+        unfit.push((peer.clone(), now + micros(pause)));
     }
 
     /// A way through another instance.
--- /dev/null
+++ b/crates/engine/src/write.rs
@@ -0,0 +1,65 @@
+//! Writes outside a transaction: they go to the primary, and are acknowledged once a replica has received them.
+
+use {
+    crate::{
+        channel::RunError,
+        count::Count,
+        model::{Answer, Code, TxnState},
+        session::{Session, text},
+        settings::{RETRY_PAUSE, TRIES},
+        statement::{Miss, Work, busy, unknown},
+    },
+    pondtrack_core::retry::Backoff,
+};
+
+impl Work<'_> {
+    /// Answers a write.
+    pub async fn write(&self, session: &mut Session) -> Answer {
+        let Some(group) = self.inst.group(&self.route.group) else {
+            return busy("the group has no servers", TxnState::Idle);
+        };
+        let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
+        for _ in 0..TRIES {
+            let Some(up) = group.wait_primary(&self.inst, self.end).await else {
+                return busy("the group has no primary", TxnState::Idle);
+            };
+            let mut channel = match self.reach(session, &up, self.end).await {
+                Ok(it) => it,
+                Err(Miss::Late(why)) => return busy(why, TxnState::Idle),
+                Err(Miss::Again) => {
+                    self.pause(&mut backoff).await;
+                    continue;
+                }
+            };
+            let sent = self.inst.now();
+            let answer = match self.parcel(session, None).run(&self.inst, &up, &mut channel).await {
+                Ok(it) => it,
+                Err(e) => {
+                    up.missed(&e, channel.via(), sent, self.inst.now());
+                    match e {
+                        RunError::Busy if self.is_held() => return busy("too much to do", TxnState::Idle),
+                        RunError::NotSent { .. } | RunError::Busy | RunError::Gone => {
+                            self.pause(&mut backoff).await;
+                            continue;
+                        }
+                        RunError::Late => {
+                            return Answer::error(Code::Timeout, text(e.to_string()), TxnState::Idle);
+                        }
+                        RunError::Broken { .. } => return unknown(&e.to_string()),
+                    }
+                }
+            };
+            self.judge(&group, &up, &answer, sent, &channel);
+            if answer.txn == TxnState::Idle && answer.code() != Some(Code::NoStatement) {
+                channel.give_back();
+            }
+            match answer.code() {
+                None => return self.acknowledge(session, &group, answer).await,
+                Some(code) if code.not_run() => self.pause(&mut backoff).await,
+                Some(_) => return answer,
+            }
+            self.inst.counters.one(Count::Retries);
+        }
+        busy("the primary doesn't take the statement", TxnState::Idle)
+    }
+}
