Lease: whoever misses a primary reads the record as it is, not as it was

Ruled out: that no watcher was on the right side (frontend-cr-depot-8 was, and lost nothing). Change: answers that may be old are asked for only while every group has a primary that answers.

--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -212,6 +212,11 @@
         self.groups.borrow().clone()
     }
 
+    /// Whether a group has no primary that answers here.
+    pub fn lacks_primary(&self) -> bool {
+        self.groups.borrow().iter().any(|it| it.primary().is_none_or(|it| it.silent().is_some()))
+    }
+
     /// The directory of servers, sorted by id.
     pub fn directory(&self) -> Vec<Server> {
         self.directory.borrow().clone().unwrap_or_default()
--- a/crates/engine/src/lease.rs
+++ b/crates/engine/src/lease.rs
@@ -28,7 +28,7 @@
 const RENEW: Duration = Duration::from_millis(400);
 /// The longest wait for a renewal's answer; a lost one is found out by the next.
 const RENEW_LIMIT: Duration = Duration::from_millis(500);
-/// Between two looks of the others, which read at a tenth of the price.
+/// Between two looks of the others, which read at a tenth of the price while every group has its primary.
 const LOOK: Duration = Duration::from_millis(600);
 /// With fewer other instances than this all of them look, so that one on the right side of a partition does.
 const ALL_LOOK: usize = 16;
@@ -117,7 +117,9 @@
     async fn look(&mut self) {
         let sent = self.inst.now();
         self.inst.counters.one(Count::StoreCalls);
-        match self.inst.edge.store.list(Collection::Leases, true).await {
+        // An old answer would hide for seconds that the holder is lost, just when it is missed.
+        let stale = !self.inst.lacks_primary();
+        match self.inst.edge.store.list(Collection::Leases, stale).await {
             Ok(it) => {
                 let found = it.items.into_iter().find(|it| it.name == NAME);
                 self.see(found, sent);
