Groups: a server that has left as it said counts as gone at once

Change: an entry that is removed after its server said that it leaves, and that doesn't answer any longer directly or through others, is gone. The 2.5 s stay for all other entries, which may lapse with the store. Test: a_primary_whose_last_replica_has_left_as_it_said_goes_on_alone_at_once (INDOUBT before).

--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -106,13 +106,16 @@
         let servers = self.servers.borrow();
         if let Some(it) = servers.iter().find(|it| it.entry().id == *id) {
             it.missing.set(it.missing.get().or(Some(now)));
+            // Whether it still answers shows whether it has left.
+            it.ask();
         }
     }
 
-    /// Servers whose entries have been missing since before `limit` are gone. Hands their ids back.
+    /// Servers whose entries have been missing since before `limit` are gone, and those that had said that they
+    /// leave and don't answer any longer. Hands their ids back.
     pub fn expire(&self, limit: Micros) -> Vec<Name> {
         let mut gone = Vec::new();
-        for it in self.servers().iter().filter(|it| it.missing.get().is_some_and(|at| at < limit)) {
+        for it in self.servers().iter().filter(|it| it.is_missed(limit)) {
             it.gone.set(true);
             it.pool.trim(Instant::now(), true);
             if self.primary.get() == Some(it.index) {
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -153,6 +153,13 @@
         !self.is_gone() && self.draining.get().is_none_or(|at| inst.now().saturating_sub(at) < limit)
     }
 
+    /// Whether its entry has been missing for so long, or it has left as it had said, that it counts as gone.
+    pub(crate) fn is_missed(&self, limit: Micros) -> bool {
+        let left =
+            self.draining.get().is_some() && (self.silent.get().is_some() || self.refused.get().is_some());
+        self.missing.get().is_some_and(|at| at < limit || left)
+    }
+
     /// Whether it has left the directory for good.
     pub fn is_gone(&self) -> bool {
         self.gone.get()
