Relays: where no home of a server can be reached, other instances stand in

Homes are all in their server's availability zone, so a cut or a loss there takes them together. The comment said that an instance which is no home may be asked; the code refused it. Change: behind a server's homes up to three substitutes are asked, with two connections each, unless a home answers that it has too much to do.

--- a/crates/engine/src/ask.rs
+++ b/crates/engine/src/ask.rs
@@ -8,7 +8,7 @@
         model::{Order, Status},
         peer::{Ask, Told},
         pool::{Denied, Want},
-        settings::{ASK_WAIT, ORDER_LIMIT, PRIMARY_PAUSE, RELAY_AFTER, RELAYS, UNFIT_PAUSE},
+        settings::{ASK_WAIT, ORDER_LIMIT, PRIMARY_PAUSE, RELAY_AFTER, RELAYS},
         upstream::Upstream,
     },
     std::rc::Rc,
@@ -80,7 +80,7 @@
                 it.refuse(inst.now());
                 return None;
             }
-            _ => it.unfit(&peer.name, inst.now(), UNFIT_PAUSE),
+            _ => it.unfit(&peer.name, inst.now(), false),
         }
     }
     it.unanswered(began);
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -8,7 +8,7 @@
         model::{Desired, Server},
         peer::Peer,
         ports::{Collection, Edge},
-        settings::{Bounds, MOST_TENTHS, SHARED_TENTHS, Settings},
+        settings::{Bounds, MOST_TENTHS, SHARED_TENTHS, SUBSTITUTE_CONNS, Settings},
         spread::Spread,
         upstream::Upstream,
     },
@@ -329,16 +329,18 @@
             let mut ranked = place::rank(&subject, &entry.zone, all);
             ranked.retain(|it| *it != self.settings.name);
             up.pool.set_share(share, most);
-            return up.place(true, ranked);
+            let homes = ranked.len();
+            return up.place(true, ranked, homes);
         }
         let mut ranked = place::rank(&entry.id, &entry.zone, all);
         let mine = ranked.iter().position(|it| *it == self.settings.name).is_some_and(|at| at < n);
         // One that is no home may still be asked by another that can't reach any.
-        up.pool.set_share(if mine { share } else { 0 }, if mine { most } else { 1 });
+        let (share, most) = if mine { (share, most) } else { (0, SUBSTITUTE_CONNS) };
+        up.pool.set_share(share, most);
         // Homes share the work of those that are none.
         ranked[..n].rotate_left(place::weight(&entry.id, &self.settings.name) as usize % n);
         ranked.retain(|it| *it != self.settings.name);
-        up.place(mine, ranked);
+        up.place(mine, ranked, n - usize::from(mine));
     }
 
     /// Whether new sessions are wanted here.
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -96,7 +96,7 @@
         (true, Some(it)) => it,
         (true, None) => return Told::Broken("the transaction is gone".to_owned()),
         (false, _) => {
-            if !up.is_reachable() {
+            if up.is_lost() {
                 return Told::NotSent("the server isn't reachable from here".to_owned());
             }
             if up.pool.is_pinned() {
@@ -159,7 +159,7 @@
 }
 
 async fn order_server(inst: &Rc<Instance>, server: &Name, order: &Order) -> Told {
-    let Some((group, up)) = find(inst, server).filter(|it| it.1.is_reachable()) else {
+    let Some((group, up)) = find(inst, server).filter(|it| !it.1.is_lost()) else {
         return Told::Status(None);
     };
     let status = match order {
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -77,6 +77,12 @@
 pub const ANSWER_BACK: Duration = Duration::from_millis(25);
 /// Another instance that had too much to do isn't asked for a server again for this long.
 pub const FULL_PEER_PAUSE: Duration = Duration::from_millis(60);
+/// Instances without a share of a server's connections that stand in where none of its homes can be reached:
+/// homes are all in the server's availability zone, and a cut may part that from the others.
+pub const SUBSTITUTES: usize = 3;
+/// Connections of each of these: with those that homes may keep open behind a cut, within the tenth that is
+/// left over.
+pub const SUBSTITUTE_CONNS: usize = 2;
 /// Most instances that are asked to put a question.
 pub const RELAYS: usize = 4;
 /// Between two rounds of questions for the primary while there is none.
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -10,8 +10,8 @@
         peer::Peer,
         pool::Pool,
         settings::{
-            DRAIN_LATE, FULL_PEER_PAUSE, OVERDUE, OVERDUE_FACTOR, PROBE_PAUSE, RELAYS, UNFIT_PAUSE,
-            UNREACHABLE_PAUSE,
+            DRAIN_LATE, FULL_PEER_PAUSE, OVERDUE, OVERDUE_FACTOR, PROBE_PAUSE, RELAYS, SUBSTITUTES,
+            UNFIT_PAUSE, UNREACHABLE_PAUSE,
         },
         turnstile::Turnstile,
     },
@@ -28,6 +28,14 @@
 /// After a server said that it is busy, others are preferred for this long.
 const BUSY_PAUSE: Duration = Duration::from_millis(15);
 
+/// An instance that couldn't run something at a server.
+pub(crate) struct Unfit {
+    name: Name,
+    until: Micros,
+    /// Whether it has only too much to do.
+    full: bool,
+}
+
 /// A statement that was answered.
 #[derive(Clone, Copy, Debug)]
 pub struct Exchange {
@@ -57,14 +65,16 @@
     pub(crate) avoid: Cell<Micros>,
     /// Whether this instance has a share of its connections.
     pub(crate) home: Cell<bool>,
-    /// Other instances to go through, the first one first.
+    /// Other instances to go through, the first one first: its homes, and then those that stand in for them.
     pub(crate) ranked: RefCell<Vec<Name>>,
+    /// How many of these are homes.
+    pub(crate) homes: Cell<usize>,
     /// Whether it is reached over connections of this instance.
     pub(crate) direct: Cell<bool>,
     /// When that was last tried.
     pub(crate) probed: Cell<Micros>,
-    /// Instances that couldn't reach it, and until when they are passed over.
-    pub(crate) unfit: RefCell<Vec<(Name, Micros)>>,
+    /// Instances that are passed over for a while.
+    pub(crate) unfit: RefCell<Vec<Unfit>>,
     /// Since when it says that it leaves.
     pub(crate) draining: Cell<Option<Micros>>,
     pub(crate) missing: Cell<Option<Micros>>,
@@ -95,6 +105,7 @@
             avoid: Cell::default(),
             home: Cell::new(true),
             ranked: RefCell::default(),
+            homes: Cell::default(),
             direct: Cell::new(true),
             probed: Cell::default(),
             unfit: RefCell::default(),
@@ -250,12 +261,10 @@
     /// A statement sent at `sent` has no answer.
     pub fn missed(&self, e: &RunError, via: Option<&Name>, sent: Micros, now: Micros) {
         match (e, via) {
-            (RunError::Busy, Some(peer)) => self.unfit(peer, now, FULL_PEER_PAUSE),
+            (RunError::Busy, Some(peer)) => self.unfit(peer, now, true),
             (RunError::Busy, None) => self.busy(now, UNREACHABLE_PAUSE / 10),
             (RunError::Gone, _) => self.failed(now, true),
-            (RunError::NotSent { .. } | RunError::Broken { .. }, Some(peer)) => {
-                self.unfit(peer, now, UNFIT_PAUSE)
-            }
+            (RunError::NotSent { .. } | RunError::Broken { .. }, Some(peer)) => self.unfit(peer, now, false),
             (RunError::NotSent { .. }, None) => self.ask(),
             (RunError::Broken { .. } | RunError::Late, _) => {
                 self.unanswered(sent);
@@ -269,27 +278,46 @@
         self.home.get() && self.direct.get()
     }
 
-    /// Sets who has a share of its connections, in the order in which they are asked.
-    pub fn place(&self, home: bool, ranked: Vec<Name>) {
+    /// Whether this instance has a share of its connections, and doesn't reach it.
+    pub fn is_lost(&self) -> bool {
+        self.home.get() && !self.direct.get()
+    }
+
+    /// Sets whether this instance has a share of its connections, and the others in the order in which they are
+    /// asked: those that have one, and then the rest.
+    pub fn place(&self, home: bool, ranked: Vec<Name>, homes: usize) {
         self.home.set(home);
+        self.homes.set(homes);
         *self.ranked.borrow_mut() = ranked;
     }
 
-    /// Another instance to go through.
+    /// Another instance to go through: one that has a share of its connections, or a substitute where none of
+    /// these can be reached. One that has only too much to do isn't replaced.
     pub(crate) fn fit_peer(&self, inst: &Instance) -> Option<Rc<Peer>> {
         let now = inst.now();
-        let unfit = self.unfit.borrow();
-        let is_unfit = |name: &Name| unfit.iter().any(|it| it.0 == *name && it.1 > now);
-        let ranked = self.ranked.borrow();
-        let mut peers = ranked.iter().filter(|it| !is_unfit(it)).filter_map(|it| inst.peer(it));
-        peers.find(|it| it.is_usable(now))
+        let (unfit, ranked, homes) = (self.unfit.borrow(), self.ranked.borrow(), self.homes.get());
+        let mut full = false;
+        for (at, name) in ranked.iter().enumerate().take(homes + SUBSTITUTES) {
+            match unfit.iter().find(|it| it.name == *name && it.until > now) {
+                Some(it) => full |= it.full,
+                None if at >= homes && full => return None,
+                None => {
+                    let found = inst.peer(name).filter(|it| it.is_usable(now));
+                    if found.is_some() {
+                        return found;
+                    }
+                }
+            }
+        }
+        None
     }
 
-    /// Another instance couldn't do it, and is passed over for a while.
-    pub fn unfit(&self, peer: &Name, now: Micros, pause: Duration) {
+    /// Another instance couldn't do it, or has too much to do, and is passed over for a while.
+    pub fn unfit(&self, peer: &Name, now: Micros, full: bool) {
+        let pause = if full { FULL_PEER_PAUSE } else { UNFIT_PAUSE };
         let mut unfit = self.unfit.borrow_mut();
-        unfit.retain(|it| it.1 > now && it.0 != *peer);
-        unfit.push((peer.clone(), now + micros(pause)));
+        unfit.retain(|it| it.until > now && it.name != *peer);
+        unfit.push(Unfit { name: peer.clone(), until: now + micros(pause), full });
     }
 
     /// A way through another instance.
