--- a/crates/engine/src/model.rs
+++ b/crates/engine/src/model.rs
@@ -326,7 +326,7 @@
     pub groups: Vec<GroupSpec>,
     /// A transaction that is idle for longer may be ended.
     pub txn_idle: Duration,
-    /// The longest message of a caller, in bytes.
+    /// The longest statement of a caller, in bytes.
     pub message_bytes: usize,
 }
 
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -258,6 +258,9 @@
         if self.txn.state() == TxnState::Failed && !matches!(it.verb, Verb::Rollback | Verb::Commit) {
             return Answer::error(Code::Malformed, "the transaction has failed", TxnState::Failed);
         }
+        if self.inst.desired().is_some_and(|desired| it.text.len() > desired.message_bytes) {
+            return Answer::error(Code::TooLarge, "larger than the configuration allows", self.txn.state());
+        }
         match &it.verb {
             Verb::Set { name, value } => self.set(name, value),
             Verb::Prepare { name, access, shape } => self.prepare(name, *access, shape),
