--- a/crates/engine/src/lease.rs
+++ b/crates/engine/src/lease.rs
@@ -30,6 +30,8 @@
 const RENEW_LIMIT: Duration = Duration::from_millis(500);
 /// Between two looks of the others, which read at a tenth of the price while every group has its primary.
 const LOOK: Duration = Duration::from_millis(600);
+/// The same for those of a large fleet that only look because they hear of nobody who watches the store.
+const LONG_LOOK: Duration = Duration::from_millis(1_800);
 /// With fewer other instances than this all of them look, so that one on the right side of a partition does.
 const ALL_LOOK: usize = 16;
 /// After its start, a process that finds its own name in the record waits for so long: an order of the
@@ -99,14 +101,17 @@
         }
         // In a large fleet those who watch the store for all are enough to find the right free.
         let others = self.inst.peers().map_or(0, |it| it.len());
-        if others >= ALL_LOOK && !self.inst.spread.must_watch(&self.inst) {
-            return LOOK;
-        }
+        let spread = &self.inst.spread;
+        let pause = match () {
+            () if others < ALL_LOOK || spread.is_watcher(&self.inst) => LOOK,
+            () if spread.must_watch(&self.inst) => LONG_LOOK,
+            () => return LOOK,
+        };
         self.look().await;
         if self.may_take() {
             self.take().await;
         }
-        LOOK
+        pause
     }
 
     /// Whether the record names this process, as far as is known.
