Instances: those that watch the store tell which instances are up

Change: the entries are read at the start and by those that watch; a beat carries a digest of who is up, and whoever knows others fetches the list, at most each 3 s. Calls that failed are tried again after 0.9, 1.8, then 3.6 s by those that don't watch for all (before: 0.9).

--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -167,7 +167,7 @@
             Told::Gone => Err(RunError::Gone),
             Told::Late => Err(RunError::Late),
             Told::Broken(reason) => Err(RunError::Broken { reason }),
-            Told::Status(_) | Told::Desired { .. } | Told::Directory { .. } => {
+            Told::Status(_) | Told::Desired { .. } | Told::Directory { .. } | Told::Members(_) => {
                 Err(RunError::Broken { reason: "another answer than asked for".to_owned() })
             }
         }
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -20,8 +20,11 @@
 /// Pause after a failed call, shortest and its spread in milliseconds: the store refuses at most for
 /// seconds, and each call has its price.
 const PAUSE: (u64, u64) = (150, 150);
-/// The same for an instance that only reads the store because nobody tells it what is there.
+/// The same for an instance that only reads the store because nobody tells it what is there. It doubles with
+/// each failure up to the third: those that watch for all find out first that the store is back.
 const LONG_PAUSE: (u64, u64) = (900, 900);
+/// The most doublings: a change has to be in force 3,000 ms after the store was well for 4,000 ms.
+const DOUBLINGS: u32 = 2;
 /// Between two looks whether the store has to be watched.
 const IDLE: Duration = Duration::from_millis(250);
 /// Between two looks for servers that have left.
@@ -33,12 +36,14 @@
 const LOOK: Duration = Duration::from_millis(3_000);
 /// The same after the start, when the others come up as well.
 const FIRST_LOOK: Duration = Duration::from_millis(1_000);
+/// How many looks of this kind there are.
+const FIRST_LOOKS: u64 = 3;
 /// Looks without a change after which an instance doesn't count: two missed heartbeats and some room.
 const MISSED: u64 = 24;
 
 /// Keeps a collection up to date while this instance has to watch the store itself, for good.
 pub async fn follow(inst: Rc<Instance>, what: Collection) {
-    let mut failing = false;
+    let mut failures = 0;
     // The revision after which changes are wanted; none when everything has to be read.
     let mut since = None;
     loop {
@@ -55,7 +60,7 @@
         inst.spread.watched(what, got.is_ok());
         match got {
             Ok(it) => {
-                if std::mem::take(&mut failing) {
+                if std::mem::take(&mut failures) > 0 {
                     log::info!(collection:% = what; "store regained");
                 }
                 let as_of = it.as_of;
@@ -65,11 +70,15 @@
             Err(StoreError::Compacted) => since = None,
             Err(e) => {
                 inst.counters.one(Count::StoreFailures);
-                if !std::mem::replace(&mut failing, true) {
+                if failures == 0 {
                     log::warn!(collection:% = what; "store lost: {e}");
                 }
-                let pause = if inst.spread.is_watcher(&inst) { PAUSE } else { LONG_PAUSE };
-                sleep(Duration::from_millis(pause.0 + inst.random(pause.1))).await;
+                let (least, spread) = match inst.spread.is_watcher(&inst) {
+                    true => PAUSE,
+                    false => (LONG_PAUSE.0 << failures.min(DOUBLINGS), LONG_PAUSE.1),
+                };
+                failures += 1;
+                sleep(Duration::from_millis(least + inst.random(spread))).await;
             }
         }
     }
@@ -128,18 +137,23 @@
     group.primary().is_some_and(|it| it.index == index)
 }
 
-/// Writes this instance's entry now and then, and counts the others.
+/// Writes this instance's entry now and then, and counts the others: at the start, and as long as it watches the
+/// store. Else those that watch tell.
 pub async fn enlist(inst: Rc<Instance>) {
     let mut entry = Entry { revision: None, written: None };
     let mut known: Vec<(Name, u64, u64)> = Vec::new();
-    for look in 1.. {
+    let mut look = 0;
+    loop {
         entry.keep(&inst).await;
-        inst.counters.one(Count::StoreCalls);
-        match inst.edge.store.list(Collection::Instances, true).await {
-            Ok(it) => inst.set_peers(live(&mut known, &it.items, look)),
-            Err(e) => log::debug!("instances: {e}"),
+        if look < FIRST_LOOKS || inst.spread.must_watch(&inst) {
+            look += 1;
+            inst.counters.one(Count::StoreCalls);
+            match inst.edge.store.list(Collection::Instances, true).await {
+                Ok(it) => inst.set_peers(live(&mut known, &it.items, look)),
+                Err(e) => log::debug!("instances: {e}"),
+            }
         }
-        let pause = if look < 3 { FIRST_LOOK } else { LOOK };
+        let pause = if look < FIRST_LOOKS { FIRST_LOOK } else { LOOK };
         sleep(pause + Duration::from_millis(inst.random(500))).await;
     }
 }
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -6,7 +6,7 @@
         group::Group,
         lease::Tenure,
         model::{Desired, Server},
-        peer::Peer,
+        peer::{Member, Peer},
         ports::{Collection, Edge},
         settings::{Bounds, MOST_TENTHS, SHARED_TENTHS, SUBSTITUTE_CONNS, Settings},
         spread::Spread,
@@ -274,6 +274,18 @@
         self.peers.borrow().clone()
     }
 
+    /// All live instances with this one, sorted by name; none until they were counted.
+    pub fn members(&self) -> Option<Vec<Member>> {
+        let own = &self.settings;
+        let me = Member { name: own.name.clone(), zone: own.zone.clone(), addr: own.peer_addr };
+        let others = self.peers()?;
+        let others =
+            others.iter().map(|it| Member { name: it.name.clone(), zone: it.zone.clone(), addr: it.addr });
+        let mut all: Vec<Member> = others.chain([me]).collect();
+        all.sort_unstable();
+        Some(all)
+    }
+
     /// Another instance.
     pub fn peer(&self, name: &Name) -> Option<Rc<Peer>> {
         let peers = self.peers.borrow();
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -97,10 +97,23 @@
     pub desired: u64,
     /// The store's revision of the directory of servers.
     pub directory: u64,
+    /// Tells apart which instances are up, as it knows them.
+    pub members: u64,
     /// Whether its calls of the store have results.
     pub watching: bool,
 }
 
+/// An instance, as others are told of it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub name: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where it answers.
+    pub addr: SocketAddrV4,
+}
+
 /// What an instance wants of another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Ask {
@@ -194,6 +207,8 @@
         /// The servers, sorted by id.
         servers: Vec<Server>,
     },
+    /// The instances that are up, sorted by name.
+    Members(Vec<Member>),
 }
 
 /// Another instance.
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -7,16 +7,17 @@
 use {
     crate::{
         instance::{Instance, Micros, micros},
-        peer::{Ask, Beat, Message, Peer, Told},
+        peer::{Ask, Beat, Member, Message, Peer, Told},
         ports::Collection,
     },
     pondtrack_core::place,
     pondtrack_proto::Name,
-    std::{cell::Cell, net::SocketAddrV4, rc::Rc, time::Duration},
+    std::{cell::Cell, fmt::Write, net::SocketAddrV4, rc::Rc, time::Duration},
     tokio::{
         sync::Notify,
         time::{sleep, timeout},
     },
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Between two beats of an instance that watches, as a share of the time in which a change has to be in force:
@@ -31,6 +32,8 @@
 const FETCH_LIMIT: Duration = Duration::from_millis(800);
 /// Between two rounds of questions to the seeds; a store that is well answers sooner.
 const JOIN_PAUSE: Duration = Duration::from_millis(400);
+/// Between two questions which instances are up: those that watch learn of a change within about as long.
+const COUNT_PAUSE: Duration = Duration::from_millis(3_000);
 /// Pause between two rounds of beats that are caused by changes.
 const ROUND_PAUSE: Duration = Duration::from_millis(20);
 
@@ -44,6 +47,8 @@
     /// Whether the last calls for the configuration and for the directory had a result.
     watched: Cell<(bool, bool)>,
     fetching: Cell<bool>,
+    /// When it was last asked which instances are up.
+    counted: Cell<Micros>,
 }
 
 impl Spread {
@@ -75,13 +80,27 @@
         });
     }
 
+    /// Whether another instance that watches the store knows other instances than this one does. Two that watch
+    /// may differ for a while, as they read the entries at different times.
+    fn wants_members(&self, inst: &Instance, beat: &Beat) -> bool {
+        let now = inst.now();
+        let due = now.saturating_sub(self.counted.get()) >= micros(COUNT_PAUSE);
+        let differs = || inst.members().is_some_and(|it| digest(&it) != beat.members);
+        let wants = beat.watching && due && !self.must_watch(inst) && differs();
+        if wants {
+            self.counted.set(now);
+        }
+        wants
+    }
+
     fn beat(&self, inst: &Instance) -> Option<Beat> {
         let (desired, directory) = (inst.revision(Collection::Desired)?, inst.revision(Collection::Servers)?);
         let version = inst.desired()?.version;
         let watching = self.watched.get() == (true, true);
         let from = inst.settings.name.clone();
+        let members = digest(&inst.members()?);
         let tells = self.is_watcher(inst) && inst.leaving().is_none();
-        tells.then_some(Beat { from, version, desired, directory, watching })
+        tells.then_some(Beat { from, version, desired, directory, members, watching })
     }
 }
 
@@ -126,6 +145,7 @@
     let wants = [
         newer(version, beat.version).then_some(Collection::Desired),
         newer(inst.revision(Collection::Servers), beat.directory).then_some(Collection::Servers),
+        inst.spread.wants_members(&inst, &beat).then_some(Collection::Instances),
     ];
     if wants.iter().all(Option::is_none) || spread.fetching.replace(true) {
         return;
@@ -166,10 +186,23 @@
                 inst.set_directory(servers, revision);
             }
         }
+        Ok(Told::Members(all)) => {
+            inst.set_peers(all.into_iter().map(|it| Peer::new(it.name, it.zone, it.addr)).collect());
+        }
         other => log::debug!(peer = peer.name.as_str(), collection:% = what; "not fetched: {other:?}"),
     }
 }
 
+/// Tells sets of instances apart.
+fn digest(members: &[Member]) -> u64 {
+    let mut text = String::new();
+    for it in members {
+        // A string takes any text.
+        let _ = writeln!(text, "{} {} {}", it.name, it.zone, it.addr);
+    }
+    xxh3_64(text.as_bytes())
+}
+
 /// What is known of a collection here, for another instance.
 pub fn tell(inst: &Instance, what: Collection) -> Told {
     let known = match what {
@@ -177,6 +210,7 @@
             .desired()
             .zip(inst.revision(what))
             .map(|(desired, revision)| Told::Desired { revision, desired: Box::new((*desired).clone()) }),
+        Collection::Instances => inst.members().map(Told::Members),
         _ => inst.revision(what).map(|revision| Told::Directory { revision, servers: inst.directory() }),
     };
     known.unwrap_or_else(|| Told::NotSent("not known here".to_owned()))
