Scale: servers are asked and placed when they are used, not by every instance at its start

At 30 machines 14,120 connections for 7,448 statements: each instance asked each server for its state at its start, opened connections or links to homes for that, and worked out the placement of every server over all instances at each change of the directory. Change: a server is asked at the start by its homes only, by others with the first statement for it; its placement is worked out when it is next wanted.

--- a/crates/engine/src/ask.rs
+++ b/crates/engine/src/ask.rs
@@ -34,6 +34,7 @@
 /// Gives a server an order that it answers with its account of itself: over a connection of this instance,
 /// through another instance, or both.
 pub async fn give(inst: &Rc<Instance>, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
+    inst.place(it);
     if !it.is_reachable() {
         it.probe(inst, group);
         return give_through(inst, group, it, order).await;
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -95,7 +95,7 @@
         }
         it.draining.set(server.draining.then(|| it.draining.get().unwrap_or(inst.now())));
         *it.entry.borrow_mut() = Rc::new(server);
-        if hint {
+        if hint && self.is_used() {
             it.ask();
         }
         self.changed.notify_waiters();
@@ -107,7 +107,9 @@
         if let Some(it) = servers.iter().find(|it| it.entry().id == *id) {
             it.missing.set(it.missing.get().or(Some(now)));
             // Whether it still answers shows whether it has left.
-            it.ask();
+            if self.is_used() {
+                it.ask();
+            }
         }
     }
 
@@ -134,10 +136,25 @@
         self.servers.borrow_mut().push(it.clone());
         self.fresh.borrow_mut().grow(index + 1);
         self.gate.borrow_mut().grow(index + 1);
-        it.ask();
+        inst.place(&it);
+        // Others ask once they have callers for it: each of hundreds of instances asking each of hundreds of servers
+        // would be too much at a start.
+        if it.is_reachable() || self.is_used() {
+            it.ask();
+        }
         tokio::task::spawn_local(ask_forever(inst.clone(), self.clone(), it));
     }
 
+    /// Whether the account of any of its servers was ever wanted here.
+    pub fn is_used(&self) -> bool {
+        self.servers.borrow().iter().any(|it| it.wanted.get())
+    }
+
+    /// Whether it is in use and has no primary that answers here.
+    pub fn lacks_primary(&self) -> bool {
+        self.is_used() && self.primary().is_none_or(|it| it.silent().is_some())
+    }
+
     /// A server gave its account of itself in the answer to a question sent at `sent`.
     pub fn saw(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) {
         it.answered(now);
@@ -350,6 +367,9 @@
 
     /// Waits for a primary that answers.
     pub async fn wait_primary(&self, inst: &Instance, end: Instant) -> Option<Rc<Upstream>> {
+        if self.primary().is_none() {
+            self.ask_all(inst.now().saturating_sub(micros(PRIMARY_PAUSE)));
+        }
         loop {
             let changed = self.changed.notified();
             let usable = |it: &Rc<Upstream>| it.silent().is_none() && it.takes_work(inst);
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -94,6 +94,8 @@
     groups: RefCell<Vec<Rc<Group>>>,
     /// Other live instances, sorted by name; none until they were counted.
     peers: RefCell<Option<Vec<Rc<Peer>>>>,
+    /// Counts up whenever shares of connections may have changed.
+    placement: Cell<u64>,
     /// The directory of servers, sorted by id; none until it was read.
     directory: RefCell<Option<Vec<Server>>>,
     /// The store's revisions at which the configuration and the directory were last known to have changed.
@@ -124,6 +126,7 @@
             desired: RefCell::default(),
             groups: RefCell::default(),
             peers: RefCell::default(),
+            placement: Cell::new(1),
             directory: RefCell::default(),
             revisions: Cell::default(),
             spread: Spread::default(),
@@ -212,9 +215,9 @@
         self.groups.borrow().clone()
     }
 
-    /// Whether a group has no primary that answers here.
+    /// Whether a group that is in use has no primary that answers here.
     pub fn lacks_primary(&self) -> bool {
-        self.groups.borrow().iter().any(|it| it.primary().is_none_or(|it| it.silent().is_some()))
+        self.groups.borrow().iter().any(|it| it.lacks_primary())
     }
 
     /// The directory of servers, sorted by id.
@@ -311,20 +314,24 @@
         }
     }
 
-    /// Works out who has a share of each server's connections.
+    /// Has it worked out anew who has a share of each server's connections, when it is next wanted: of hundreds of
+    /// servers an instance uses few.
     fn share_out(&self) {
+        self.placement.set(self.placement.get() + 1);
+    }
+
+    /// Works out who has a share of a server's connections, if that may have changed.
+    pub fn place(&self, up: &Upstream) {
+        if up.placement.replace(self.placement.get()) == self.placement.get() {
+            return;
+        }
         let Some(desired) = self.desired() else { return };
-        let peers = self.peers.borrow().clone();
-        for group in self.groups() {
-            let spec = desired.groups.iter().find(|it| it.name == group.name);
-            let conns = spec.map_or(0, |it| it.conns);
-            for it in group.servers() {
-                match &peers {
-                    Some(peers) => self.share(&it, conns, peers),
-                    // Until the others are known, as little as possible.
-                    None => it.pool.set_share(1, 2),
-                }
-            }
+        let group = up.entry().group.clone();
+        let conns = desired.groups.iter().find(|it| it.name == group).map_or(0, |it| it.conns);
+        match &*self.peers.borrow() {
+            Some(peers) => self.share(up, conns, peers),
+            // Until the others are known, as little as possible.
+            None => up.pool.set_share(1, 2),
         }
     }
 
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -96,6 +96,7 @@
         (true, Some(it)) => it,
         (true, None) => return Told::Broken("the transaction is gone".to_owned()),
         (false, _) => {
+            inst.place(&up);
             if up.is_lost() {
                 return Told::NotSent("the server isn't reachable from here".to_owned());
             }
@@ -159,9 +160,11 @@
 }
 
 async fn order_server(inst: &Rc<Instance>, server: &Name, order: &Order) -> Told {
-    let Some((group, up)) = find(inst, server).filter(|it| !it.1.is_lost()) else {
+    let Some((group, up)) = find(inst, server) else { return Told::Status(None) };
+    inst.place(&up);
+    if up.is_lost() {
         return Told::Status(None);
-    };
+    }
     let status = match order {
         Order::Status => shared_status(inst, &group, &up).await,
         _ => give_direct(inst, &group, &up, order).await,
--- a/crates/engine/src/report.rs
+++ b/crates/engine/src/report.rs
@@ -24,7 +24,7 @@
     let text: Vec<String> = counts.map(|(it, n)| format!("{it}={n}")).collect();
     log::info!(sessions = inst.sessions.get(); "counted since the start: {}", text.join(" "));
     let now = inst.now();
-    for group in inst.groups() {
+    for group in inst.groups().into_iter().filter(|it| it.is_used()) {
         let servers: Vec<String> = group.servers().iter().map(|it| it.account(now)).collect();
         log::info!(group = group.name.as_str(), term = group.term().0; "servers: {}", servers.join("; "));
     }
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -167,6 +167,7 @@
     /// A way to a server.
     pub async fn reach(&self, session: &Session, up: &Rc<Upstream>, until: Instant) -> Result<Channel, Miss> {
         let until = until.min(self.end).min(self.hold());
+        self.inst.place(up);
         if !up.is_reachable() {
             return self.relay(up, until).await;
         }
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -63,6 +63,8 @@
     pub(crate) silent: Cell<Option<Micros>>,
     pub(crate) refused: Cell<Option<Micros>>,
     pub(crate) avoid: Cell<Micros>,
+    /// As of which change of placement the next three are known.
+    pub(crate) placement: Cell<u64>,
     /// Whether this instance has a share of its connections.
     pub(crate) home: Cell<bool>,
     /// Other instances to go through, the first one first: its homes, and then those that stand in for them.
@@ -79,6 +81,8 @@
     pub(crate) draining: Cell<Option<Micros>>,
     pub(crate) missing: Cell<Option<Micros>>,
     pub(crate) gone: Cell<bool>,
+    /// Whether its account of itself was ever wanted.
+    pub(crate) wanted: Cell<bool>,
     /// When it was last asked.
     pub(crate) asked: Cell<Micros>,
     /// When a question was sent over a connection of this instance that has no answer yet.
@@ -103,6 +107,7 @@
             silent: Cell::default(),
             refused: Cell::default(),
             avoid: Cell::default(),
+            placement: Cell::default(),
             home: Cell::new(true),
             ranked: RefCell::default(),
             homes: Cell::default(),
@@ -112,6 +117,7 @@
             draining: Cell::new(draining),
             missing: Cell::default(),
             gone: Cell::default(),
+            wanted: Cell::default(),
             asked: Cell::default(),
             sent: Cell::default(),
             nudge: Notify::new(),
@@ -294,6 +300,7 @@
     /// Another instance to go through: one that has a share of its connections, or a substitute where none of
     /// these can be reached. One that has only too much to do isn't replaced.
     pub(crate) fn fit_peer(&self, inst: &Instance) -> Option<Rc<Peer>> {
+        inst.place(self);
         let now = inst.now();
         let (unfit, ranked, homes) = (self.unfit.borrow(), self.ranked.borrow(), self.homes.get());
         let mut full = false;
@@ -368,6 +375,7 @@
 
     /// Asks it for its account of itself, soon.
     pub fn ask(&self) {
+        self.wanted.set(true);
         self.nudge.notify_one();
     }
 
