Changes of primary: an instance that has just started gives a silent primary 1.5 s

All instances lost power at 34 s; the one that took the lease at 36.6 s gave up five primaries as silent within 0.6 s and replaced three, while other instances had them all and none was lost: its questions waited behind the connections of 71 instances that came back. Ruled out: a cut (no line of any other instance says that one of them was not reached), a pause of the holder (its lines go on). Change: for its first 5 s an instance waits 1.5 s instead of 0.5 s.

--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -32,6 +32,11 @@
 const ASK_REPLICA: Duration = Duration::from_millis(1_000);
 /// Silence after which a primary is given up: an answer may take 400 ms behind long statements.
 const SILENCE: Duration = Duration::from_millis(500);
+/// The same for an instance that has just started: when all come back from a loss of power, servers are busy
+/// with their connections, and a question may wait for a second.
+const YOUNG_SILENCE: Duration = Duration::from_millis(1_500);
+/// For how long an instance counts as just started.
+const YOUNG: Duration = Duration::from_secs(5);
 /// The same when its address refuses connections: the process is gone.
 const REFUSED: Duration = Duration::from_millis(150);
 /// Time without a primary.
@@ -169,13 +174,18 @@
         if over(primary.refused(), REFUSED) {
             return Some(Cause::Refused);
         }
-        if over(primary.silent(), SILENCE) {
+        if over(primary.silent(), silence(now)) {
             return Some(Cause::Silent);
         }
         self.is_stalled().then_some(Cause::Stalled)
     }
 }
 
+/// Silence after which an instance that runs since `uptime` microseconds gives a primary up.
+pub fn silence(uptime: Micros) -> Duration {
+    if uptime < micros(YOUNG) { YOUNG_SILENCE } else { SILENCE }
+}
+
 /// Asks servers that weren't asked lately.
 fn ask(group: &Group, now: Micros) {
     let primary = group.primary().map(|it| it.index);
