Relay: a statement that was not sent for another instance doesn't make its server silent

Seen in reading: since a try knows whether it was sent, a relayed statement that waited to its end for a turn marked the server as one that owes an answer. The function that runs relayed statements is split.

--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -11,6 +11,7 @@
         model::{Order, Status, TxnState},
         pool::{Denied, Want},
         ports::{Forward, Text},
+        session::Prepared,
         settings::ASK_WAIT,
         spread,
         upstream::{Exchange, Upstream},
@@ -97,51 +98,28 @@
         (true, Some(it)) => it,
         (true, None) => return Told::Broken("the transaction is gone".to_owned()),
         (false, _) => {
-            inst.place(&up);
-            if up.is_lost() {
-                return Told::NotSent("the server isn't reachable from here".to_owned());
-            }
-            if up.pool.is_pinned() {
-                return Told::Busy;
-            }
             let until = (now + Duration::from_millis(it.wait_ms.into())).min(end);
-            let permit = match rank {
-                Some(rank) => match up.turns.enter(rank, until).await {
-                    Some(it) => Some(it),
-                    None => return Told::Busy,
-                },
-                None => None,
-            };
-            let want = Want { priority: rank.map_or(0, |it| it.priority), until, values: None };
-            match up.pool.lend(inst, &up.entry(), want).await {
-                Ok(lease) => Channel::Direct(Direct::new(lease, up.turns.clone(), permit)),
-                Err(Denied::Busy | Denied::Full) => return Told::Busy,
-                Err(Denied::Unreachable(e)) => {
-                    up.failed(inst.now(), e.is_refusal());
-                    return if e.is_refusal() { Told::Gone } else { Told::NotSent(e.to_string()) };
-                }
+            match reach(inst, &up, rank, until).await {
+                Ok(it) => Channel::Direct(it),
+                Err(told) => return told,
             }
         }
     };
     let values = Rc::new(it.values);
-    let what = match &it.what {
-        Sent::Statement { id, text, after } => {
-            let text = match &it.named {
-                Some(named) => Text::Execute { name: &named.alias, args: text },
-                None => Text::Plain(text),
-            };
-            What::Forward(Forward { id, text, after: *after })
-        }
-        Sent::Order { order, after } => What::Order(order, *after),
+    let (sent, slow) = (inst.now(), it.slow);
+    let sending = Sending {
+        values: Some(&values),
+        named: it.named.as_ref(),
+        what: what(&it.what, it.named.as_ref()),
+        rank,
+        slow,
+        overdue: up.overdue(sent),
+        end,
     };
-    let sent = inst.now();
-    let slow = it.slow;
-    let overdue = up.overdue(sent);
-    let sending = Sending { values: Some(&values), named: it.named.as_ref(), what, rank, slow, overdue, end };
     let answer = match channel.run(inst, sending).await {
         Ok(it) => it,
         Err(e) => {
-            up.unanswered(sent);
+            up.missed(&e, None, sent, inst.now());
             return e.into();
         }
     };
@@ -160,6 +138,44 @@
     Told::Answer(answer)
 }
 
+/// A connection of this instance for another's statement, with a turn; or what the other is told instead.
+async fn reach(inst: &Instance, up: &Upstream, rank: Option<Rank>, until: Instant) -> Result<Direct, Told> {
+    inst.place(up);
+    if up.is_lost() {
+        return Err(Told::NotSent("the server isn't reachable from here".to_owned()));
+    }
+    if up.pool.is_pinned() {
+        return Err(Told::Busy);
+    }
+    let permit = match rank {
+        Some(rank) => Some(up.turns.enter(rank, until).await.ok_or(Told::Busy)?),
+        None => None,
+    };
+    let want = Want { priority: rank.map_or(0, |it| it.priority), until, values: None };
+    match up.pool.lend(inst, &up.entry(), want).await {
+        Ok(lease) => Ok(Direct::new(lease, up.turns.clone(), permit)),
+        Err(Denied::Busy | Denied::Full) => Err(Told::Busy),
+        Err(Denied::Unreachable(e)) => {
+            up.failed(inst.now(), e.is_refusal());
+            Err(if e.is_refusal() { Told::Gone } else { Told::NotSent(e.to_string()) })
+        }
+    }
+}
+
+/// What is sent for another instance.
+fn what<'a>(it: &'a Sent, named: Option<&'a Prepared>) -> What<'a> {
+    match it {
+        Sent::Statement { id, text, after } => {
+            let text = match named {
+                Some(named) => Text::Execute { name: &named.alias, args: text },
+                None => Text::Plain(text),
+            };
+            What::Forward(Forward { id, text, after: *after })
+        }
+        Sent::Order { order, after } => What::Order(order, *after),
+    }
+}
+
 async fn order_server(inst: &Rc<Instance>, server: &Name, order: &Order) -> Told {
     let Some((group, up)) = find(inst, server) else { return Told::Status(None) };
     inst.place(&up);
