Spread: only the first watcher of an availability zone tells the other zones

Change: each zone's other watchers tell their own zone. Where a zone has one watcher, as up to 31 instances, nothing changes. Worked out: 9 instead of 24 senders an instance at 760 in six zones.

--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -55,14 +55,20 @@
 impl Spread {
     /// Whether this instance is one of those that watch the store for all.
     pub fn is_watcher(&self, inst: &Instance) -> bool {
-        let Some(peers) = inst.peers() else { return true };
+        let (rank, watchers) = self.rank(inst);
+        rank < watchers
+    }
+
+    /// Its place among those of its availability zone that could watch the store, and how many of them do.
+    fn rank(&self, inst: &Instance) -> (usize, usize) {
+        let Some(peers) = inst.peers() else { return (0, 1) };
         let own = &inst.settings;
         let now = inst.now();
         let counts = |it: &&Rc<Peer>| it.zone == own.zone && !it.is_blind(now);
         let zone: Vec<&Name> = peers.iter().filter(counts).map(|it| &it.name).collect();
         let mine = place::weight("watch", &own.name);
         let before = zone.iter().filter(|it| place::weight("watch", it) > mine).count();
-        before < 1 + zone.len() / WATCHERS_PER
+        (before, 1 + zone.len() / WATCHERS_PER)
     }
 
     /// Whether this instance has to watch the store.
@@ -114,7 +120,9 @@
         let (Some(beat), Some(peers)) = (inst.spread.beat(&inst), inst.peers()) else {
             continue;
         };
-        for peer in peers {
+        // The first of each availability zone tells all, the others their own zone, so that nobody hears of many.
+        let first = inst.spread.rank(&inst).0 == 0;
+        for peer in peers.into_iter().filter(|it| first || it.zone == inst.settings.zone) {
             tokio::task::spawn_local(send(inst.clone(), peer, beat.clone()));
         }
         sleep(ROUND_PAUSE).await;
