Soak: soaks at the same time take ports far from each other's

Cause, from their logs: process ids 11193 to 11195 gave them the same ports, instances ended with "Address already in use", and callers of one soak spoke to another's instances, whose writes have the same ids.

--- a/crates/pondtrackd/tests/soak.rs
+++ b/crates/pondtrackd/tests/soak.rs
@@ -52,6 +52,8 @@
 const INSTANCES: usize = 3;
 /// Where instances listen.
 const PORTS: std::ops::Range<u16> = 20_000..30_000;
+/// Ports between those of two soaks with neighbouring process ids: a soak of fifty seeds takes 450.
+const PORTS_APART: u32 = 1_009;
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 const CALLERS: usize = 6;
 
@@ -315,7 +317,9 @@
 /// A port for an instance, which has to be named in its settings. It is below those that the system gives to
 /// outgoing connections, of which one could take it before the instance starts.
 fn free_port() -> u16 {
-    let first = PORTS.start + (std::process::id() % u32::from(PORTS.end - PORTS.start)) as u16;
+    // Far from those of other soaks at the same time, whose process ids are often neighbours.
+    let span = u32::from(PORTS.end - PORTS.start);
+    let first = PORTS.start + (std::process::id().wrapping_mul(PORTS_APART) % span) as u16;
     loop {
         let n = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         let port = PORTS.start + (first - PORTS.start + n) % (PORTS.end - PORTS.start);
