Connections: an instance that is no home any longer closes them

Seen in reading the diff: since placement is worked out when it is wanted, an instance that lost its share of a server and sent nothing there any more kept its connections, beside those of the new homes. Now it is worked out wherever connections are open.

--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -123,7 +123,9 @@
             for id in group.expire(limit) {
                 log::info!(group = group.name.as_str(), server = id.as_str(); "server gone");
             }
-            for it in group.servers() {
+            for it in group.servers().into_iter().filter(|it| it.pool.is_open()) {
+                // What this instance may keep shrinks as others come.
+                inst.place(&it);
                 it.pool.trim(
                     Instant::now(),
                     it.entry().draining && group.servers().len() > 1 && !is_primary(&group, it.index),
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -86,6 +86,11 @@
         !self.idle.borrow().is_empty() || self.may_open()
     }
 
+    /// Whether there is any connection.
+    pub fn is_open(&self) -> bool {
+        self.open.get() > 0
+    }
+
     /// Whether transactions rest on all the connections that this instance may have.
     pub fn is_pinned(&self) -> bool {
         self.pinned.get() >= self.most.get().max(1)
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -37,7 +37,7 @@
 const YOUNG_SILENCE: Duration = Duration::from_millis(1_500);
 /// For how long an instance counts as just started.
 const YOUNG: Duration = Duration::from_secs(5);
-/// The same when its address refuses connections: the process is gone.
+/// Time for which its address refuses connections until it is given up: the process is gone.
 const REFUSED: Duration = Duration::from_millis(150);
 /// Time without a primary.
 const ABSENT: Duration = Duration::from_millis(600);
