Start: an instance asks no server before it knows the other instances

Change: servers are asked at the start once the others are known, by their homes. Test: an_instance_asks_no_server_before_it_knows_the_other_instances (3 connections before).

--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -136,13 +136,25 @@
         self.servers.borrow_mut().push(it.clone());
         self.fresh.borrow_mut().grow(index + 1);
         self.gate.borrow_mut().grow(index + 1);
-        inst.place(&it);
-        // Others ask once they have callers for it: each of hundreds of instances asking each of hundreds of servers
-        // would be too much at a start.
-        if it.is_reachable() || self.is_used() {
+        self.greet(inst, &it);
+        tokio::task::spawn_local(ask_forever(inst.clone(), self.clone(), it));
+    }
+
+    /// Asks a server that is new here, if this instance is one of its homes. Others ask once they have callers for
+    /// it: each of hundreds of instances asking each of hundreds of servers would be too much at a start.
+    fn greet(&self, inst: &Instance, it: &Upstream) {
+        inst.place(it);
+        let home = inst.peers().is_some() && it.is_reachable();
+        if home || self.is_used() {
             it.ask();
         }
-        tokio::task::spawn_local(ask_forever(inst.clone(), self.clone(), it));
+    }
+
+    /// The same for all its servers, once it is known which other instances there are.
+    pub fn greet_all(&self, inst: &Instance) {
+        for it in self.servers() {
+            self.greet(inst, &it);
+        }
     }
 
     /// Whether the account of any of its servers was ever wanted here.
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -310,9 +310,13 @@
         if old.as_ref().map(Vec::len) != Some(peers.len()) {
             log::info!(others = peers.len(); "instances counted");
         }
+        let first = old.is_none();
         if old.is_none_or(|old| !same(&old, &peers)) {
             self.share_out();
         }
+        if first {
+            self.groups().iter().for_each(|it| it.greet_all(self));
+        }
     }
 
     /// Has it worked out anew who has a share of each server's connections, when it is next wanted: of hundreds of
