--- a/crates/engine/src/count.rs
+++ b/crates/engine/src/count.rs
@@ -45,6 +45,12 @@
     StoreFailures,
     /// Promotions ordered.
     Promotions,
+    /// Fetches of the configuration, the directory or the members from other instances.
+    Fetches,
+    /// Those of them without a result.
+    FetchesFailed,
+    /// Bytes of these collections sent to other instances.
+    SpreadBytes,
     /// Log lines that were left out.
     LogsDropped,
 }
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        count::Count,
         instance::{Instance, Micros, micros},
         message::{Ask, Beat, Member, Message, Told},
         peer::Peer,
@@ -185,6 +186,9 @@
 }
 
 async fn fetch(inst: &Rc<Instance>, peer: &Peer, what: Collection) {
+    let begun = inst.now();
+    inst.counters.one(Count::Fetches);
+    let took = || (inst.now() - begun) / 1_000;
     match timeout(FETCH_LIMIT, peer.ask(inst, Ask::Fetch(what))).await {
         Ok(Told::Desired { revision, desired }) => {
             inst.adopt(*desired, revision);
@@ -198,7 +202,20 @@
         Ok(Told::Members(all)) => {
             inst.set_peers(all.into_iter().map(|it| Peer::new(it.name, it.zone, it.addr)).collect());
         }
-        other => log::debug!(peer = peer.name.as_str(), collection:% = what; "not fetched: {other:?}"),
+        other => {
+            inst.counters.one(Count::FetchesFailed);
+            if inst.may_log() {
+                let reason = match other {
+                    Ok(told) => format!("{told:?}"),
+                    Err(_) => "no answer in time".to_owned(),
+                };
+                log::info!(peer = peer.name.as_str(), collection:% = what, took_ms = took(); "not fetched: {reason}");
+            }
+            return;
+        }
+    }
+    if inst.may_log() {
+        log::info!(peer = peer.name.as_str(), collection:% = what, took_ms = took(); "fetched");
     }
 }
 
@@ -222,5 +239,14 @@
         Collection::Instances => inst.members().map(Told::Members),
         _ => inst.revision(what).map(|revision| Told::Directory { revision, servers: inst.directory() }),
     };
+    match &known {
+        Some(it) => inst.counters.add(Count::SpreadBytes, size(it)),
+        None => log::debug!(collection:% = what; "asked for, and not known here"),
+    }
     known.unwrap_or_else(|| Told::NotSent("not known here".to_owned()))
 }
+
+/// Bytes of an answer on a link.
+fn size(told: &Told) -> u64 {
+    postcard::experimental::serialized_size(told).map_or(0, |it| it as u64)
+}
