Spread: changes travel as differences, in parts, to a few at a time

Cause (class: bulk data for all at once over a link that control shares, with a limit for the whole of it, so that a full link brings forth more of the same): each instance fetched the whole configuration from the watcher it heard first; 71 copies of 62 KB went into a link of 10 Mbit/s, most were given up after 0.8 s, asked for again, and sent all the same. Ruled out: the store (watchers had the version before its acknowledgement), processors (8 % at most). Change: a document is the difference from the version that the asking instance has, with a digest of the result; it is asked for in parts of 8 KB, each with its own limit; two are handed out at a time; who asks meanwhile waits and is sent to an instance that has it. What another zone tells is fetched there only if the own zone has not told within 100 ms. The directory and the members travel the same way. Weighed: whole documents with a longer limit (the link stays full); a fixed tree (a lost instance cuts off its branch until the next beat); everybody reads the store (a call for each instance and change, a megabyte each).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 //! | [`turn`] | who runs next at a server that has too much to do |
 //! | [`retry`] | budgets and backoff |
 //! | [`member`] | probes, suspicion, incarnations |
+//! | [`delta`] | what changed in a collection since a version |
 //! | [`spread`] | versioned facts, pushes and digests |
 //! | [`plan`] | from an intent to steps |
 //!
@@ -38,6 +39,7 @@
 pub mod balance;
 pub mod chart;
 pub mod classify;
+pub mod delta;
 pub mod detect;
 pub mod fresh;
 pub mod gate;
--- /dev/null
+++ b/crates/core/tests/delta.rs
@@ -0,0 +1,88 @@
+//! Differences of collections: applied to what they were made from they give what they were made for.
+
+use {
+    pondtrack_core::delta::{ChangeLog, Delta, touched},
+    pondtrack_proto::Name,
+    rand::{RngExt, SeedableRng},
+    rand_pcg::Pcg64Mcg,
+    rstest::rstest,
+};
+
+type Item = (Name, u32);
+
+fn key(it: &Item) -> &Name {
+    &it.0
+}
+
+fn items(list: &[(&str, u32)]) -> Vec<Item> {
+    list.iter().map(|it| (Name::from(it.0), it.1)).collect()
+}
+
+fn names(list: &[&str]) -> Vec<Name> {
+    list.iter().map(|it| Name::from(*it)).collect()
+}
+
+#[rstest]
+#[case(&[], &[("a", 1)], &["a"])]
+#[case(&[("a", 1)], &[], &["a"])]
+#[case(&[("a", 1), ("b", 1)], &[("a", 1), ("b", 2)], &["b"])]
+#[case(&[("a", 1), ("c", 1)], &[("b", 1), ("c", 1), ("d", 1)], &["a", "b", "d"])]
+#[case(&[("a", 1)], &[("a", 1)], &[])]
+fn keys_that_differ(#[case] old: &[(&str, u32)], #[case] new: &[(&str, u32)], #[case] expected: &[&str]) {
+    assert_eq!(touched(&items(old), &items(new), key), names(expected));
+}
+
+#[test]
+fn a_log_knows_nothing_from_before_its_first_version() {
+    let mut log = ChangeLog::default();
+    assert_eq!(log.since(0), None);
+    log.note(5, names(&["a"]));
+    log.note(9, names(&["b", "c"]));
+    log.note(13, names(&["a", "c"]));
+    assert_eq!(log.since(4), None);
+    assert_eq!(log.since(5), Some(names(&["a", "b", "c"])));
+    // A version between two that are known is as good as the one before it.
+    assert_eq!(log.since(10), Some(names(&["a", "c"])));
+    assert_eq!(log.since(13), Some(Vec::new()));
+}
+
+#[test]
+fn a_log_forgets_its_oldest_versions_first() {
+    let mut log = ChangeLog::default();
+    log.note(1, Vec::new());
+    for version in 2..=6 {
+        log.note(version, (0..1_500).map(|n| Name::from(format!("{version}-{n:04}"))).collect());
+    }
+    assert_eq!(log.since(3), None, "more keys than are kept");
+    assert_eq!(log.since(4).map(|it| it.len()), Some(3_000));
+}
+
+#[test]
+fn differences_over_any_number_of_versions_lead_to_the_last() {
+    for seed in 0..200 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut log = ChangeLog::default();
+        let mut versions: Vec<Vec<Item>> = Vec::new();
+        for version in 0..8 {
+            let old = versions.last().cloned().unwrap_or_default();
+            let mut new = old.clone();
+            new.retain(|_| rng.random_range(0..5) > 0);
+            new.iter_mut().filter(|_| rng.random_range(0..3) == 0).for_each(|it| it.1 += 1);
+            for _ in 0..rng.random_range(0..6) {
+                let name = Name::from(format!("{:02}", rng.random_range(0..40)));
+                if let Err(at) = new.binary_search_by(|it| it.0.cmp(&name)) {
+                    new.insert(at, (name, 0));
+                }
+            }
+            log.note(version, touched(&old, &new, key));
+            versions.push(new);
+        }
+        let last = versions.last().unwrap();
+        for (version, old) in versions.iter().enumerate() {
+            let keys = log.since(version as u64).unwrap();
+            let delta = Delta::of_keys(keys, last, key);
+            assert_eq!(&delta.apply(old, key), last, "seed {seed}, from version {version}");
+        }
+        assert_eq!(&Delta::whole(last).apply(&[], key), last);
+    }
+}
--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -216,11 +216,7 @@
             Told::Gone => Err(RunError::Gone),
             Told::Late => Err(RunError::Late),
             Told::Broken(reason) => Err(RunError::Broken { reason }),
-            Told::Status(_)
-            | Told::Turn { .. }
-            | Told::Desired { .. }
-            | Told::Directory { .. }
-            | Told::Members(_) => {
+            Told::Status(_) | Told::Turn { .. } | Told::Part(_) | Told::Elsewhere(_) => {
                 Err(RunError::Broken { reason: "another answer than asked for".to_owned() })
             }
         }
--- /dev/null
+++ b/crates/engine/src/document.rs
@@ -0,0 +1,230 @@
+//! What instances hand each other of a collection: its difference from a version that the other one has, or the whole.
+//!
+//! A change travels as what it changes: 1,400 further routes are 31 KB, an idle limit 50 bytes, where the whole of 2,800
+//! routes is 62 KB. A digest of the result goes along. Where it differs the whole is fetched instead, so that a wrong
+//! difference can't be taken in.
+
+use {
+    crate::{
+        instance::Instance,
+        message::Member,
+        model::{Desired, GroupSpec, Route, Server},
+        peer::Peer,
+        ports::Collection,
+    },
+    pondtrack_core::delta::{ChangeLog, Delta, touched},
+    pondtrack_proto::Name,
+    serde::{Deserialize, Serialize},
+    snafu::Snafu,
+    std::{cell::RefCell, rc::Rc, time::Duration},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// A collection, or a change of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Document {
+    /// The configuration.
+    Desired(Box<DesiredChange>),
+    /// The directory of servers.
+    Directory {
+        /// The store's revision that it starts from; 0 for the whole.
+        since: u64,
+        /// The store's revision that it leads to.
+        revision: u64,
+        /// The servers.
+        servers: Delta<Server>,
+        /// Tells apart what it leads to.
+        digest: u64,
+    },
+    /// The instances that are up, sorted by name.
+    Members(Vec<Member>),
+}
+
+/// A change of the configuration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DesiredChange {
+    /// The version that it starts from; 0 for the whole.
+    pub since: u64,
+    /// The version that it leads to.
+    pub version: u64,
+    /// The store's revision of that.
+    pub revision: u64,
+    /// Routes.
+    pub routes: Delta<Route>,
+    /// Groups.
+    pub groups: Delta<GroupSpec>,
+    /// A transaction that is idle for longer may be ended.
+    pub txn_idle: Duration,
+    /// The longest statement of a caller, in bytes.
+    pub message_bytes: usize,
+    /// Tells apart what it leads to.
+    pub digest: u64,
+}
+
+/// Why a document isn't taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum DocumentError {
+    /// It starts from another version than the one that is known here by now.
+    #[snafu(display("it starts from another version than the one known here"))]
+    Moved,
+    /// It leads to something else than what its sender has; the whole has to be fetched.
+    #[snafu(display("its digest differs"))]
+    Differs,
+}
+
+/// Which items of the configuration and the directory changed when, as far as this instance saw it.
+#[derive(Debug, Default)]
+pub struct History {
+    routes: RefCell<ChangeLog>,
+    groups: RefCell<ChangeLog>,
+    servers: RefCell<ChangeLog>,
+}
+
+fn database(it: &Route) -> &Name {
+    &it.database
+}
+
+fn group(it: &GroupSpec) -> &Name {
+    &it.name
+}
+
+fn server(it: &Server) -> &Name {
+    &it.id
+}
+
+impl History {
+    /// A configuration takes the place of another.
+    pub fn note_desired(&self, old: Option<&Desired>, new: &Desired) {
+        let (routes, groups) = old.map_or((&[][..], &[][..]), |it| (&it.routes, &it.groups));
+        self.routes.borrow_mut().note(new.version, touched(routes, &new.routes, database));
+        self.groups.borrow_mut().note(new.version, touched(groups, &new.groups, group));
+    }
+
+    /// A directory takes the place of another.
+    pub fn note_directory(&self, old: &[Server], new: &[Server], revision: u64) {
+        self.servers.borrow_mut().note(revision, touched(old, new, server));
+    }
+}
+
+impl Document {
+    /// The version of a collection that is known here, if any is.
+    pub fn latest(inst: &Instance, what: Collection) -> Option<u64> {
+        match what {
+            Collection::Desired => inst.desired().map(|it| it.version),
+            Collection::Servers => inst.revision(what),
+            Collection::Instances => inst.members().map(|it| members_digest(&it)),
+            Collection::Leases => None,
+        }
+    }
+
+    /// The version that a change of a collection may start from here; 0 where only the whole will do. Members always
+    /// travel whole.
+    pub fn known(inst: &Instance, what: Collection) -> u64 {
+        match what {
+            Collection::Desired | Collection::Servers => Document::latest(inst, what).unwrap_or(0),
+            Collection::Instances | Collection::Leases => 0,
+        }
+    }
+
+    /// What is known here of a collection, for an instance that has it as of `since`; none if nothing newer is known.
+    pub fn build(inst: &Instance, what: Collection, since: u64) -> Option<Document> {
+        match what {
+            Collection::Desired => desired(inst, since).map(|it| Document::Desired(Box::new(it))),
+            Collection::Servers => directory(inst, since),
+            Collection::Instances => inst.members().map(Document::Members),
+            Collection::Leases => None,
+        }
+    }
+
+    /// Takes it in, unless what is known here is as new.
+    ///
+    /// # Errors
+    ///
+    /// If it doesn't fit what is known here.
+    pub fn apply(self, inst: &Rc<Instance>) -> Result<(), DocumentError> {
+        match self {
+            Document::Desired(it) => take_desired(inst, *it),
+            Document::Directory { since, revision, servers, digest } => {
+                let known = Document::known(inst, Collection::Servers);
+                if known >= revision && inst.revision(Collection::Servers).is_some() {
+                    return Ok(());
+                }
+                let old = base(since, known, || inst.directory())?;
+                let servers = servers.apply(&old, server);
+                if digest_of(&servers) != digest {
+                    return Err(DocumentError::Differs);
+                }
+                inst.set_directory(servers, revision);
+                Ok(())
+            }
+            Document::Members(all) => {
+                inst.set_peers(all.into_iter().map(|it| Peer::new(it.name, it.zone, it.addr)).collect());
+                Ok(())
+            }
+        }
+    }
+}
+
+fn desired(inst: &Instance, since: u64) -> Option<DesiredChange> {
+    let it = inst.desired().filter(|it| it.version > since)?;
+    let revision = inst.revision(Collection::Desired)?;
+    let logs = (inst.history.routes.borrow(), inst.history.groups.borrow());
+    let keys = (since > 0).then(|| logs.0.since(since).zip(logs.1.since(since))).flatten();
+    let (since, routes, groups) = match keys {
+        Some((routes, groups)) => {
+            (since, Delta::of_keys(routes, &it.routes, database), Delta::of_keys(groups, &it.groups, group))
+        }
+        None => (0, Delta::whole(&it.routes), Delta::whole(&it.groups)),
+    };
+    let digest = digest_of(&(&it.routes, &it.groups));
+    let (version, txn_idle, message_bytes) = (it.version, it.txn_idle, it.message_bytes);
+    Some(DesiredChange { since, version, revision, routes, groups, txn_idle, message_bytes, digest })
+}
+
+fn directory(inst: &Instance, since: u64) -> Option<Document> {
+    let revision = inst.revision(Collection::Servers).filter(|it| *it > since)?;
+    let all = inst.directory();
+    let keys = (since > 0).then(|| inst.history.servers.borrow().since(since)).flatten();
+    let digest = digest_of(&all);
+    let (since, servers) = match keys {
+        Some(keys) => (since, Delta::of_keys(keys, &all, server)),
+        None => (0, Delta::whole(&all)),
+    };
+    Some(Document::Directory { since, revision, servers, digest })
+}
+
+fn take_desired(inst: &Rc<Instance>, it: DesiredChange) -> Result<(), DocumentError> {
+    let known = inst.desired();
+    let version = known.as_ref().map_or(0, |it| it.version);
+    if version >= it.version {
+        return Ok(());
+    }
+    let old = base(it.since, version, || known.as_ref().map(|it| (it.routes.clone(), it.groups.clone())))?;
+    let (routes, groups) = old.unwrap_or_default();
+    let routes = it.routes.apply(&routes, database);
+    let groups = it.groups.apply(&groups, group);
+    if digest_of(&(&routes, &groups)) != it.digest {
+        return Err(DocumentError::Differs);
+    }
+    let (version, txn_idle, message_bytes) = (it.version, it.txn_idle, it.message_bytes);
+    inst.adopt(Desired { version, routes, groups, txn_idle, message_bytes }, it.revision);
+    Ok(())
+}
+
+/// What a document that starts from a version is applied to: nothing for the whole, else what is known here.
+fn base<T: Default>(since: u64, known: u64, old: impl FnOnce() -> T) -> Result<T, DocumentError> {
+    match since {
+        0 => Ok(T::default()),
+        it if it == known => Ok(old()),
+        _ => Err(DocumentError::Moved),
+    }
+}
+
+/// Tells sets of instances apart.
+pub fn members_digest(members: &[Member]) -> u64 {
+    digest_of(&members)
+}
+
+fn digest_of<T: Serialize>(it: &T) -> u64 {
+    xxh3_64(&postcard::to_stdvec(it).expect("plain data always encodes"))
+}
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -3,7 +3,9 @@
 use {
     crate::{
         count::{Count, Counters},
+        document::History,
         group::Group,
+        handout::Handout,
         lease::Tenure,
         message::Member,
         model::{Desired, Server},
@@ -103,6 +105,10 @@
     revisions: Cell<(Option<u64>, Option<u64>)>,
     /// How the configuration and the directory come here.
     pub spread: Spread,
+    /// Which items of them changed when.
+    pub history: History,
+    /// What is being handed to other instances.
+    pub handout: Handout,
     leaving: Cell<Option<Instant>>,
     /// The clock.
     pub clock: Clock,
@@ -131,6 +137,8 @@
             directory: RefCell::default(),
             revisions: Cell::default(),
             spread: Spread::default(),
+            history: History::default(),
+            handout: Handout::default(),
             leaving: Cell::default(),
             clock: Clock(Instant::now()),
             costs: RefCell::default(),
@@ -197,10 +205,12 @@
 
     /// Takes a configuration in if it is newer.
     pub fn adopt(&self, it: Desired, revision: u64) {
-        let old = self.desired.borrow().as_ref().map_or(0, |it| it.version);
+        let known = self.desired();
+        let old = known.as_ref().map_or(0, |it| it.version);
         if it.version <= old {
             return;
         }
+        self.history.note_desired(known.as_deref(), &it);
         self.set_revision(Collection::Desired, revision);
         log::info!(version = it.version, old, routes = it.routes.len(); "configuration in force");
         *self.desired.borrow_mut() = Some(Rc::new(it));
@@ -233,6 +243,7 @@
     pub fn set_directory(self: &Rc<Self>, servers: Vec<Server>, revision: u64) {
         self.set_revision(Collection::Servers, revision);
         let old = self.directory.replace(Some(servers.clone())).unwrap_or_default();
+        self.history.note_directory(&old, &servers, revision);
         for it in &servers {
             let known = old.binary_search_by(|old| old.id.cmp(&it.id)).is_ok_and(|at| old[at] == *it);
             if !known {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`instance`] | what the parts of an instance share |
 //! | [`feed`] | the configuration and the directory, kept up to date |
 //! | [`spread`] | the same for instances that don't watch the store |
+//! | [`document`], [`handout`], [`fetch`] | what instances hand each other of them |
 //! | [`group`], [`upstream`] | a group and the evidence about it, its servers |
 //! | [`ask`] | questions and orders to servers |
 //! | [`conn`], [`pool`], [`turnstile`] | connections to servers, and turns at them |
@@ -28,8 +29,11 @@
 pub mod conn;
 pub mod count;
 pub mod dispatch;
+pub mod document;
 pub mod feed;
+pub mod fetch;
 pub mod group;
+pub mod handout;
 pub mod instance;
 pub mod lease;
 pub mod link;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         instance::Micros,
-        model::{Answer, Desired, Order, Server, Status},
+        model::{Answer, Order, Status},
         ports::Collection,
         session::Prepared,
     },
@@ -102,8 +102,8 @@
         /// How long it may wait, in milliseconds.
         wait_ms: u32,
     },
-    /// To tell what it knows of a collection.
-    Fetch(Collection),
+    /// To hand out what it knows of a collection.
+    Fetch(Fetch),
     /// To give a server an order that it answers with its account of itself.
     Order {
         /// The server.
@@ -113,6 +113,32 @@
     },
 }
 
+/// A wish for what another instance knows of a collection.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fetch {
+    /// The collection.
+    pub what: Collection,
+    /// Who wants it.
+    pub from: Name,
+    /// The version that is known there; 0 if none is, or the whole is wanted.
+    pub since: u64,
+    /// The version that is being handed out and the bytes that are there of it; none at the beginning.
+    pub next: Option<(u64, u32)>,
+}
+
+/// A part of an encoded [`Document`](crate::document::Document).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The version that the document leads to.
+    pub at: u64,
+    /// Bytes of the whole document.
+    pub total: u32,
+    /// Bytes before this part.
+    pub offset: u32,
+    /// The part.
+    pub bytes: Bytes,
+}
+
 /// A statement that another instance runs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Run {
@@ -190,22 +216,10 @@
     Gone,
     /// It was sent, and not answered in time.
     Late,
-    /// The configuration.
-    Desired {
-        /// The store's revision.
-        revision: u64,
-        /// The configuration.
-        desired: Box<Desired>,
-    },
-    /// The directory of servers.
-    Directory {
-        /// The store's revision.
-        revision: u64,
-        /// The servers, sorted by id.
-        servers: Vec<Server>,
-    },
-    /// The instances that are up, sorted by name.
-    Members(Vec<Member>),
+    /// A part of a document.
+    Part(Part),
+    /// Others are handed a document at present. The instance that is named has it, or none is known that has.
+    Elsewhere(Option<Name>),
 }
 
 impl Message {
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -6,6 +6,7 @@
         channel::{Channel, Direct, NoWay, Sending, What},
         dispatch::{TURN_MOST, tell_homes},
         group::Group,
+        handout,
         instance::{Instance, Micros, accept_all},
         link::{STREAM_SILENCE, halves},
         message::{Ask, Message, Run, Sent, Told},
@@ -134,7 +135,7 @@
             let wait = Duration::from_millis(wait_ms.into());
             return grant(&inst, &held, &out, id, &server, rank, slow, wait).await;
         }
-        Ask::Fetch(what) => spread::tell(&inst, what),
+        Ask::Fetch(it) => handout::answer(&inst, it).await,
         Ask::Order { server, order } => order_server(&inst, &server, &order).await,
     };
     // The link may have closed meanwhile; its other side knows.
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -6,20 +6,20 @@
 
 use {
     crate::{
-        count::Count,
+        document::members_digest,
+        fetch::fetch,
         instance::{Instance, Micros, micros},
-        message::{Ask, Beat, Member, Message, Told},
+        message::{Beat, Message},
         peer::Peer,
         ports::Collection,
     },
     pondtrack_core::place,
     pondtrack_proto::Name,
-    std::{cell::Cell, fmt::Write, net::SocketAddrV4, rc::Rc, time::Duration},
+    std::{cell::Cell, net::SocketAddrV4, rc::Rc, time::Duration},
     tokio::{
         sync::Notify,
         time::{sleep, timeout},
     },
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Between two beats of an instance that watches, as a share of the time in which a change has to be in force:
@@ -30,8 +30,10 @@
 const LOST_SHARE: f64 = 0.6;
 /// Instances of a zone for each that watches; there is one at least.
 const WATCHERS_PER: usize = 32;
-/// Time to fetch what is newer.
-const FETCH_LIMIT: Duration = Duration::from_millis(800);
+/// What an instance of another availability zone tells is fetched from there only after this pause, where one of the own
+/// zone tells as well: those that watch hear of a change within a few milliseconds of each other, and bytes that cross
+/// zones cost more.
+const ZONE_PAUSE: Duration = Duration::from_millis(100);
 /// Between two rounds of questions to the seeds; a store that is well answers sooner.
 const JOIN_PAUSE: Duration = Duration::from_millis(400);
 /// Between two questions which instances are up: those that watch learn of a change within about as long.
@@ -46,6 +48,8 @@
     pub tell: Notify,
     /// When an instance that watches was last heard.
     heard: Cell<Micros>,
+    /// When one of the own availability zone was last heard.
+    heard_near: Cell<Micros>,
     /// Whether the last calls for the configuration and for the directory had a result.
     watched: Cell<(bool, bool)>,
     fetching: Cell<bool>,
@@ -88,12 +92,30 @@
         });
     }
 
+    /// Whether an instance of the own availability zone tells what it watches.
+    fn hears_near(&self, inst: &Instance) -> bool {
+        let silent = inst.now().saturating_sub(self.heard_near.get());
+        self.heard_near.get() > 0 && silent < micros(inst.bounds.get().apply.mul_f64(LOST_SHARE))
+    }
+
+    fn newer_desired(&self, inst: &Instance, beat: &Beat) -> bool {
+        inst.desired().is_none_or(|it| it.version < beat.version)
+    }
+
+    fn newer_directory(&self, inst: &Instance, beat: &Beat) -> bool {
+        inst.revision(Collection::Servers).is_none_or(|it| it < beat.directory)
+    }
+
+    fn tells_newer(&self, inst: &Instance, beat: &Beat) -> bool {
+        self.newer_desired(inst, beat) || self.newer_directory(inst, beat)
+    }
+
     /// Whether another instance that watches the store knows other instances than this one does. Two that watch
     /// may differ for a while, as they read the entries at different times.
     fn wants_members(&self, inst: &Instance, beat: &Beat) -> bool {
         let now = inst.now();
         let due = now.saturating_sub(self.counted.get()) >= micros(COUNT_PAUSE);
-        let differs = || inst.members().is_some_and(|it| digest(&it) != beat.members);
+        let differs = || inst.members().is_some_and(|it| members_digest(&it) != beat.members);
         let wants = beat.watching && due && !self.must_watch(inst) && differs();
         if wants {
             self.counted.set(now);
@@ -106,7 +128,7 @@
         let version = inst.desired()?.version;
         let watching = self.watched.get() == (true, true);
         let from = inst.settings.name.clone();
-        let members = digest(&inst.members()?);
+        let members = members_digest(&inst.members()?);
         let tells = self.is_watcher(inst) && inst.leaving().is_none();
         tells.then_some(Beat { from, version, desired, directory, members, watching })
     }
@@ -146,32 +168,34 @@
     if beat.watching {
         spread.heard.set(now);
     }
-    let peer = inst.peer(&beat.from);
-    if let Some(it) = &peer {
-        it.set_watching(beat.watching, now);
+    let Some(peer) = inst.peer(&beat.from) else { return };
+    peer.set_watching(beat.watching, now);
+    let is_near = peer.zone == inst.settings.zone;
+    if is_near && beat.watching {
+        spread.heard_near.set(now);
     }
-    let newer = |known: Option<u64>, told: u64| known.is_none_or(|it| it < told);
-    let version = inst.desired().map(|it| it.version);
-    let wants = [
-        newer(version, beat.version).then_some(Collection::Desired),
-        newer(inst.revision(Collection::Servers), beat.directory).then_some(Collection::Servers),
-        inst.spread.wants_members(&inst, &beat).then_some(Collection::Instances),
-    ];
-    if wants.iter().all(Option::is_none) || spread.fetching.replace(true) {
+    if !is_near && spread.hears_near(&inst) && spread.tells_newer(&inst, &beat) {
+        sleep(ZONE_PAUSE).await;
+    }
+    if spread.fetching.replace(true) {
         return;
     }
-    if let Some(peer) = peer {
-        for what in wants.into_iter().flatten() {
-            fetch(&inst, &peer, what).await;
-        }
+    let wants = [
+        spread.newer_desired(&inst, &beat).then_some(Collection::Desired),
+        spread.newer_directory(&inst, &beat).then_some(Collection::Servers),
+        spread.wants_members(&inst, &beat).then_some(Collection::Instances),
+    ];
+    for what in wants.into_iter().flatten() {
+        fetch(&inst, &peer, what).await;
     }
-    inst.spread.fetching.set(false);
+    spread.fetching.set(false);
 }
 
 /// Learns from other instances what the store doesn't tell at the start, until this instance is ready.
 pub async fn join(inst: Rc<Instance>, seeds: Vec<SocketAddrV4>) {
     let others = seeds.into_iter().filter(|it| *it != inst.settings.peer_addr);
-    let peers: Vec<Peer> = others.map(|it| Peer::new(Name::from(it.to_string()), Name::new(), it)).collect();
+    let peers: Vec<Rc<Peer>> =
+        others.map(|it| Rc::new(Peer::new(Name::from(it.to_string()), Name::new(), it))).collect();
     loop {
         sleep(JOIN_PAUSE).await;
         for peer in &peers {
@@ -184,69 +208,3 @@
         }
     }
 }
-
-async fn fetch(inst: &Rc<Instance>, peer: &Peer, what: Collection) {
-    let begun = inst.now();
-    inst.counters.one(Count::Fetches);
-    let took = || (inst.now() - begun) / 1_000;
-    match timeout(FETCH_LIMIT, peer.ask(inst, Ask::Fetch(what))).await {
-        Ok(Told::Desired { revision, desired }) => {
-            inst.adopt(*desired, revision);
-        }
-        Ok(Told::Directory { revision, servers }) => {
-            // Meanwhile a newer one may have come.
-            if inst.revision(Collection::Servers).is_none_or(|it| it < revision) {
-                inst.set_directory(servers, revision);
-            }
-        }
-        Ok(Told::Members(all)) => {
-            inst.set_peers(all.into_iter().map(|it| Peer::new(it.name, it.zone, it.addr)).collect());
-        }
-        other => {
-            inst.counters.one(Count::FetchesFailed);
-            if inst.may_log() {
-                let reason = match other {
-                    Ok(told) => format!("{told:?}"),
-                    Err(_) => "no answer in time".to_owned(),
-                };
-                log::info!(peer = peer.name.as_str(), collection:% = what, took_ms = took(); "not fetched: {reason}");
-            }
-            return;
-        }
-    }
-    if inst.may_log() {
-        log::info!(peer = peer.name.as_str(), collection:% = what, took_ms = took(); "fetched");
-    }
-}
-
-/// Tells sets of instances apart.
-fn digest(members: &[Member]) -> u64 {
-    let mut text = String::new();
-    for it in members {
-        // A string takes any text.
-        let _ = writeln!(text, "{} {} {}", it.name, it.zone, it.addr);
-    }
-    xxh3_64(text.as_bytes())
-}
-
-/// What is known of a collection here, for another instance.
-pub fn tell(inst: &Instance, what: Collection) -> Told {
-    let known = match what {
-        Collection::Desired => inst
-            .desired()
-            .zip(inst.revision(what))
-            .map(|(desired, revision)| Told::Desired { revision, desired: Box::new((*desired).clone()) }),
-        Collection::Instances => inst.members().map(Told::Members),
-        _ => inst.revision(what).map(|revision| Told::Directory { revision, servers: inst.directory() }),
-    };
-    match &known {
-        Some(it) => inst.counters.add(Count::SpreadBytes, size(it)),
-        None => log::debug!(collection:% = what; "asked for, and not known here"),
-    }
-    known.unwrap_or_else(|| Told::NotSent("not known here".to_owned()))
-}
-
-/// Bytes of an answer on a link.
-fn size(told: &Told) -> u64 {
-    postcard::experimental::serialized_size(told).map_or(0, |it| it as u64)
-}
