Spread: what is told during a fetch is looked at after it

Cause: a beat that came while an instance fetched was dropped; a second change then waited for the next beat, 1.3 s where a configuration has 5 s. Change: the newest beat is kept, the own zone's first.

--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -15,7 +15,12 @@
     },
     pondtrack_core::place,
     pondtrack_proto::Name,
-    std::{cell::Cell, net::SocketAddrV4, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddrV4,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         sync::Notify,
         time::{sleep, timeout},
@@ -53,6 +58,8 @@
     /// Whether the last calls for the configuration and for the directory had a result.
     watched: Cell<(bool, bool)>,
     fetching: Cell<bool>,
+    /// What was told last while something was fetched, and by whom.
+    missed: RefCell<Option<(Rc<Peer>, Beat)>>,
     /// When it was last asked which instances are up.
     counted: Cell<Micros>,
 }
@@ -98,6 +105,16 @@
         self.heard_near.get() > 0 && silent < micros(inst.bounds.get().apply.mul_f64(LOST_SHARE))
     }
 
+    /// Keeps what was told while something is fetched: a fetch may take longer than the time between two beats. What an
+    /// instance of the own zone tells goes before what others tell, unless that is newer.
+    fn look_later(&self, inst: &Instance, peer: Rc<Peer>, beat: Beat) {
+        let mut missed = self.missed.borrow_mut();
+        let rank = |peer: &Peer, beat: &Beat| (beat.version, beat.directory, peer.zone == inst.settings.zone);
+        if missed.as_ref().is_none_or(|old| rank(&old.0, &old.1) <= rank(&peer, &beat)) {
+            *missed = Some((peer, beat));
+        }
+    }
+
     fn newer_desired(&self, inst: &Instance, beat: &Beat) -> bool {
         inst.desired().is_none_or(|it| it.version < beat.version)
     }
@@ -178,15 +195,19 @@
         sleep(ZONE_PAUSE).await;
     }
     if spread.fetching.replace(true) {
-        return;
-    }
-    let wants = [
-        spread.newer_desired(&inst, &beat).then_some(Collection::Desired),
-        spread.newer_directory(&inst, &beat).then_some(Collection::Servers),
-        spread.wants_members(&inst, &beat).then_some(Collection::Instances),
-    ];
-    for what in wants.into_iter().flatten() {
-        fetch(&inst, &peer, what).await;
+        return spread.look_later(&inst, peer, beat);
+    }
+    let mut told = Some((peer, beat));
+    while let Some((peer, beat)) = told {
+        let wants = [
+            spread.newer_desired(&inst, &beat).then_some(Collection::Desired),
+            spread.newer_directory(&inst, &beat).then_some(Collection::Servers),
+            spread.wants_members(&inst, &beat).then_some(Collection::Instances),
+        ];
+        for what in wants.into_iter().flatten() {
+            fetch(&inst, &peer, what).await;
+        }
+        told = spread.missed.take();
     }
     spread.fetching.set(false);
 }
