Fetch: a pause before the first instance is asked again

Cause: an instance that was sent to one it doesn't know, that is gone, or that still takes its last part went back to the first at once, which named the same again: questions as fast as the link answers, at the start of all for as long as slots are taken. Change: 50 to 100 ms before the first is asked again.

--- a/crates/engine/src/fetch.rs
+++ b/crates/engine/src/fetch.rs
@@ -11,12 +11,15 @@
     },
     snafu::Snafu,
     std::{rc::Rc, time::Duration},
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 /// Time for a part, with the wait for a slot of the instance that hands it out. There is none for a whole document: it may
 /// take as long as its parts come.
 const PART_LIMIT: Duration = Duration::from_millis(800);
+/// Pause before the first instance is asked again, shortest and its spread in milliseconds. The one that it named is not
+/// known here, is gone, or still takes its last part; asked at once it would name the same.
+const PAUSE: (u64, u64) = (50, 50);
 /// The largest document, in bytes: what the store holds in one object is smaller, and takes less room here than there.
 const DOCUMENT_BYTES: u32 = 16 << 20;
 
@@ -53,7 +56,7 @@
 enum Step {
     /// What it knew is known here.
     Done,
-    /// Another instance hands it out as well; none if all are busy.
+    /// Another instance hands it out as well; none if none is known that does.
     Elsewhere(Option<Rc<Peer>>),
 }
 
@@ -76,9 +79,11 @@
                 }
                 return;
             }
-            Ok(Step::Elsewhere(Some(it))) => peer = it,
-            // The question has waited there.
-            Ok(Step::Elsewhere(None)) => peer = source.clone(),
+            Ok(Step::Elsewhere(Some(it))) => {
+                peer = it;
+                continue;
+            }
+            Ok(Step::Elsewhere(None)) => {}
             Err(e) => {
                 inst.counters.one(Count::FetchesFailed);
                 if inst.may_log() {
@@ -87,12 +92,13 @@
                 match e {
                     FetchError::Unfit { source: DocumentError::Moved } => {}
                     FetchError::Unfit { source: DocumentError::Differs } if !whole => whole = true,
-                    // The one that was named may be gone, or has it not yet.
-                    _ if peer.name != source.name => peer = source.clone(),
-                    _ => return,
+                    _ if peer.name == source.name => return,
+                    _ => {}
                 }
             }
         }
+        peer = source.clone();
+        sleep(Duration::from_millis(PAUSE.0 + inst.random(PAUSE.1))).await;
     }
 }
 
