Soak: configurations grow and shrink by thousands of routes in series while faults go on

Each version has a route of its own: none that an instance has shown may be gone in the same process, and the last is in force everywhere at the end.

--- a/crates/pondtrackd/tests/soak.rs
+++ b/crates/pondtrackd/tests/soak.rs
@@ -7,7 +7,11 @@
 #[path = "../../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 
+#[path = "soak/growth.rs"]
+mod growth;
+
 use {
+    growth::Growth,
     pondtrack_engine::ports::{Collection, Record},
     rand::{RngExt, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -85,6 +89,8 @@
     rng: RefCell<Pcg64Mcg>,
     /// For faults that came to the soak later, so that the others of a seed stay as they were.
     later: RefCell<Pcg64Mcg>,
+    /// Changes of the configuration.
+    growth: Growth,
     store: FakeStore,
     group: Rc<Group>,
     instances: Vec<Rc<Instance>>,
@@ -116,15 +122,22 @@
     let entries = tokio::task::spawn_local(keep_entries(world.clone()));
     let end = Instant::now() + FAULTS;
     let later = tokio::task::spawn_local(later_faults(world.clone(), end));
+    let changing = world.clone();
+    let changes = tokio::task::spawn_local(async move { growth::change(&changing, end).await });
+    let watching = world.clone();
+    let watches = tokio::task::spawn_local(async move { growth::watch(&watching, end).await });
     while Instant::now() < end {
         sleep(Duration::from_millis(world.below(900))).await;
         tokio::task::spawn_local(fault(world.clone()));
     }
     later.await.expect("faults don't fail");
+    changes.await.expect("changes don't fail");
+    watches.await.expect("no configuration reverts");
     // The last faults heal by themselves.
     sleep(Duration::from_secs(4)).await;
     world.heal();
     world.recovered("the end").await;
+    growth::in_force(&world).await;
     world.stop.set(true);
     for it in callers {
         it.await.expect("a caller's checks hold");
@@ -173,7 +186,8 @@
         let rng = RefCell::new(Pcg64Mcg::seed_from_u64(seed));
         let later = RefCell::new(Pcg64Mcg::seed_from_u64(!seed));
         let (tries, stop, reads) = (RefCell::default(), Cell::default(), Cell::default());
-        let it = World { seed, rng, later, store, group, instances, tries, stop, reads, dir };
+        let growth = Growth::new(seed);
+        let it = World { seed, rng, later, growth, store, group, instances, tries, stop, reads, dir };
         for at in 0..INSTANCES {
             it.launch(at);
         }
@@ -203,6 +217,11 @@
         *it.child.borrow_mut() = Some(child);
     }
 
+    /// The id of an instance's process, if it runs.
+    fn process(&self, at: usize) -> Option<u32> {
+        self.instances[at].child.borrow().as_ref().map(Child::id)
+    }
+
     /// Sends a signal to a process that this soak started.
     fn signal(&self, at: usize, signal: &str) {
         if let Some(child) = self.instances[at].child.borrow().as_ref() {
