--- a/crates/engine/src/handout.rs
+++ b/crates/engine/src/handout.rs
@@ -40,7 +40,7 @@
 /// How long a question waits for a slot, or for an instance that has the document: below the time in which a part is
 /// expected.
 const HOLD: Duration = Duration::from_millis(400);
-/// Encoded documents that are kept: the configuration and the directory, each from two versions.
+/// Encoded documents that are kept, each of the newest version: the configuration and the directory, from two versions each.
 const DOCS: usize = 4;
 
 /// An encoded document.
@@ -59,13 +59,20 @@
     asked: Micros,
 }
 
+/// An instance that had a document from here.
+struct Given {
+    what: Collection,
+    at: u64,
+    to: Name,
+}
+
 /// What is being handed out, and who has it.
 #[derive(Default)]
 pub struct Handout {
     docs: RefCell<Vec<Doc>>,
     transfers: RefCell<Vec<Transfer>>,
-    /// Instances that had a collection at a version from here, in order.
-    given: RefCell<Vec<(Collection, u64, Name)>>,
+    /// The newest version of each collection only.
+    given: RefCell<Vec<Given>>,
     /// Counts those who were sent to others, so that they are spread evenly.
     sent_on: Cell<usize>,
     /// Woken when a document has been handed out.
@@ -112,6 +119,7 @@
         let (what, since) = (it.what, it.since);
         let at = Document::latest(inst, what)?;
         let mut docs = self.docs.borrow_mut();
+        docs.retain(|it| it.what != what || it.at == at);
         let kept = docs.iter().find(|it| (it.what, it.since, it.at) == (what, since, at));
         if let Some(doc) = kept {
             return Some(doc.clone());
@@ -133,7 +141,9 @@
         }
         transfers.push(Transfer { to: it.from.clone(), doc: doc.clone(), asked: now });
         drop(transfers);
-        self.finish_if_last(it, doc.bytes.len() <= PART_BYTES);
+        if doc.bytes.len() <= PART_BYTES {
+            self.finish(it);
+        }
         true
     }
 
@@ -148,29 +158,28 @@
         let part = part(&transfer.doc, offset);
         let last = offset + part.bytes.len() == part.total as usize;
         drop(transfers);
-        self.finish_if_last(it, last);
+        if last {
+            self.finish(it);
+        }
         Told::Part(part)
     }
 
     /// Frees the slot of a transfer whose last part has gone out.
-    fn finish_if_last(&self, it: &Fetch, last: bool) {
-        if !last {
-            return;
-        }
+    fn finish(&self, it: &Fetch) {
         let mut transfers = self.transfers.borrow_mut();
         let Some(at) = transfers.iter().position(|old| old.is_of(it)) else { return };
         let Transfer { to, doc, .. } = transfers.remove(at);
         let mut given = self.given.borrow_mut();
-        given.retain(|old| old.0 != doc.what || (old.1 == doc.at && old.2 != to));
-        given.push((doc.what, doc.at, to));
+        given.retain(|old| old.what != doc.what || (old.at == doc.at && old.to != to));
+        given.push(Given { what: doc.what, at: doc.at, to });
         self.freed.notify_waiters();
     }
 
     /// An instance that has the document from here: in the asking one's availability zone, if there is one.
     fn other(&self, inst: &Instance, it: &Fetch, doc: &Doc) -> Option<Name> {
         let given = self.given.borrow();
-        let has = given.iter().filter(|old| (old.0, old.1) == (doc.what, doc.at) && old.2 != it.from);
-        let names: Vec<&Name> = has.map(|it| &it.2).collect();
+        let has = given.iter().filter(|old| (old.what, old.at) == (doc.what, doc.at) && old.to != it.from);
+        let names: Vec<&Name> = has.map(|it| &it.to).collect();
         let zone = |name: &Name| inst.peer(name).map(|it| it.zone.clone());
         let own = zone(&it.from);
         let near: Vec<&Name> = names.iter().copied().filter(|it| zone(it) == own).collect();
