--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         instance::{Instance, Micros, micros},
-        message::{Ask, Message, Told},
+        message::{Ask, Message, Told, TurnWish},
         settings::ANSWER_BACK,
         turnstile::{Permit, Turn},
         upstream::Upstream,
@@ -120,7 +120,7 @@
     let link = peer.link(inst).await?;
     let wait_ms = until.saturating_duration_since(Instant::now()).as_millis() as u32;
     let rank = Rank { aim: rank.aim.saturating_sub(inst.now()), ..rank };
-    let ask = Ask::Turn { server: up.entry().id.clone(), rank, slow, wait_ms };
+    let ask = Ask::Turn(TurnWish { server: up.entry().id.clone(), rank, slow, wait_ms });
     let told = timeout_at(until + ANSWER_BACK, link.ask(ask)).await;
     let (turn, crowded) = match told {
         Ok(Told::Turn { turn, crowded }) => (Turn::Granted(Permit::remote(link, turn)), crowded),
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -92,16 +92,7 @@
     /// To run a statement at a server.
     Run(Box<Run>),
     /// A turn at a server that this instance reaches itself.
-    Turn {
-        /// The server.
-        server: Name,
-        /// The statement's rank; its aim counts from now, as clocks are not compared.
-        rank: Rank,
-        /// A statement that takes longer is slow, in microseconds.
-        slow: Micros,
-        /// How long it may wait, in milliseconds.
-        wait_ms: u32,
-    },
+    Turn(TurnWish),
     /// To hand out what it knows of a collection.
     Fetch(Fetch),
     /// To give a server an order that it answers with its account of itself.
@@ -113,6 +104,19 @@
     },
 }
 
+/// A wish for a turn at a server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TurnWish {
+    /// The server.
+    pub server: Name,
+    /// The statement's rank; its aim counts from now, as clocks are not compared.
+    pub rank: Rank,
+    /// A statement that takes longer is slow, in microseconds.
+    pub slow: Micros,
+    /// How long it may wait, in milliseconds.
+    pub wait_ms: u32,
+}
+
 /// A wish for what another instance knows of a collection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fetch {
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -8,8 +8,8 @@
         group::Group,
         handout,
         instance::{Instance, Micros, accept_all, micros},
-        link::{Halves, STREAM_SILENCE, halves},
-        message::{Ask, Message, Run, Sent, Told},
+        link::{Halves, Reader, STREAM_SILENCE, halves},
+        message::{Ask, Message, Run, Sent, Told, TurnWish},
         model::{Order, Status, TxnState},
         pool::Want,
         ports::{Forward, Text},
@@ -19,10 +19,15 @@
         turnstile::{Permit, Turn},
         upstream::{Exchange, Upstream},
     },
+    bytes::BytesMut,
     futures::StreamExt,
     pondtrack_core::turn::Rank,
     pondtrack_proto::Name,
-    std::{cell::RefCell, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc::UnboundedSender,
@@ -30,10 +35,15 @@
     },
 };
 
-/// The transactions of one link, by stream.
-type Streams = Rc<RefCell<Vec<(u64, Channel)>>>;
-/// The turns that the other side of a link has.
-type HeldTurns = Rc<RefCell<Vec<(u64, Permit)>>>;
+/// A link, on the side that answers.
+struct Served {
+    inst: Rc<Instance>,
+    out: UnboundedSender<Message>,
+    /// Transactions, by stream.
+    streams: RefCell<Vec<(u64, Channel)>>,
+    /// Turns that the other side has.
+    turns: RefCell<Vec<(u64, Permit)>>,
+}
 
 /// Accepts links of other instances until this instance ends.
 pub async fn accept(inst: Rc<Instance>, listener: TcpListener) {
@@ -42,111 +52,160 @@
 
 async fn serve(inst: Rc<Instance>, stream: TcpStream) {
     let Halves { mut reader, out, heard } = halves(stream, inst.clock);
-    let streams = Streams::default();
-    let held = HeldTurns::default();
-    loop {
-        let bytes = match timeout(STREAM_SILENCE, reader.next()).await {
-            Ok(Some(Ok(it))) => it,
-            Ok(Some(Err(_)) | None) => break,
-            Err(_) if streams.borrow().is_empty() => continue,
-            Err(_) if inst.now().saturating_sub(heard.get()) < micros(STREAM_SILENCE) => continue,
-            Err(_) => {
-                log::info!(step = "link", transactions = streams.borrow().len(); "another instance is silent; its transactions are rolled back");
-                break;
+    let it = Rc::new(Served { inst, out, streams: RefCell::default(), turns: RefCell::default() });
+    while let Some(bytes) = it.receive(&mut reader, &heard).await {
+        let goes_on = Message::decode(&bytes).is_some_and(|message| it.take_in(message));
+        if !goes_on {
+            break;
+        }
+    }
+    // Transactions of a link that is gone are rolled back as their connections close.
+    it.streams.borrow_mut().clear();
+    it.turns.borrow_mut().clear();
+}
+
+impl Served {
+    /// The next message; none at the end of the link, or when it is silent and transactions rest on it.
+    async fn receive(&self, reader: &mut Reader, heard: &Cell<Micros>) -> Option<BytesMut> {
+        loop {
+            if let Ok(it) = timeout(STREAM_SILENCE, reader.next()).await {
+                return it?.ok();
             }
-        };
-        match Message::decode(&bytes) {
-            Some(Message::Ask { id, ask }) => {
-                tokio::task::spawn_local(answer(
-                    inst.clone(),
-                    streams.clone(),
-                    held.clone(),
-                    out.clone(),
-                    id,
-                    ask,
-                ));
+            let silent = self.inst.now().saturating_sub(heard.get());
+            let transactions = self.streams.borrow().len();
+            if transactions > 0 && silent >= micros(STREAM_SILENCE) {
+                log::info!(step = "link", transactions; "another instance is silent; its transactions are rolled back");
+                return None;
             }
-            Some(Message::Crowded { server }) => {
-                if let Some((_, up)) = find(&inst, &server) {
-                    up.crowd(inst.now());
+        }
+    }
+
+    /// Takes a message in; says whether the link goes on.
+    fn take_in(self: &Rc<Self>, message: Message) -> bool {
+        match message {
+            Message::Ask { id, ask } => drop(tokio::task::spawn_local(self.clone().answer(id, ask))),
+            Message::Crowded { server } => {
+                if let Some((_, up)) = find(&self.inst, &server) {
+                    up.crowd(self.inst.now());
                 }
             }
-            Some(Message::EndTurn { turn }) => held.borrow_mut().retain(|it| it.0 != turn),
-            Some(Message::Drop { stream }) => drop(take(&streams, stream)),
-            Some(Message::Beat(it)) => {
-                tokio::task::spawn_local(spread::heard(inst.clone(), it));
-            }
-            Some(Message::Ping) => {
-                out.send(Message::Pong).ok();
-            }
-            Some(Message::Told { .. } | Message::Pong) | None => break,
+            Message::EndTurn { turn } => self.end_turn(turn),
+            Message::Drop { stream } => drop(self.take_stream(stream)),
+            Message::Beat(it) => drop(tokio::task::spawn_local(spread::heard(self.inst.clone(), it))),
+            // On a closed link nobody waits for it.
+            Message::Ping => drop(self.out.send(Message::Pong)),
+            Message::Told { .. } | Message::Pong => return false,
         }
+        true
     }
-    // Transactions of a link that is gone are rolled back as their connections close.
-    streams.borrow_mut().clear();
-    held.borrow_mut().clear();
-}
 
-/// Hands out a turn, and takes it back after a while in any case.
-#[expect(clippy::too_many_arguments, reason = "a message's fields")]
-async fn grant(
-    inst: &Rc<Instance>,
-    held: &HeldTurns,
-    out: &UnboundedSender<Message>,
-    id: u64,
-    server: &Name,
-    rank: Rank,
-    slow: Micros,
-    wait: Duration,
-) {
-    let told = |told| out.send(Message::Told { id, told }).is_ok();
-    let Some((_, up)) = find(inst, server) else {
-        told(Told::NotSent("unknown server".to_owned()));
-        return;
-    };
-    if up.crowd(inst.now()) {
-        tell_homes(inst, &up);
+    async fn answer(self: Rc<Self>, id: u64, ask: Ask) {
+        let inst = &self.inst;
+        let told = match ask {
+            Ask::Run(it) => self.run(*it).await,
+            Ask::Turn(it) => return self.grant(id, it).await,
+            Ask::Fetch(it) => handout::answer(inst, it).await,
+            Ask::Order { server, order } => order_server(inst, &server, &order).await,
+        };
+        self.tell(id, told);
     }
-    let rank = Rank { aim: rank.aim + inst.now(), ..rank };
-    match up.shared.enter(rank, Some(slow), Instant::now() + wait).await {
-        Turn::Granted(permit) => {
-            // A link that has closed meanwhile needs no turn.
-            if told(Told::Turn { turn: id, crowded: up.shared.is_crowded() }) {
-                held.borrow_mut().push((id, permit));
-                sleep(TURN_MOST).await;
-                held.borrow_mut().retain(|it| it.0 != id);
+
+    /// Tells an answer; says whether the link is open. On a closed one the other side knows.
+    fn tell(&self, id: u64, told: Told) -> bool {
+        self.out.send(Message::Told { id, told }).is_ok()
+    }
+
+    /// Hands out a turn, and takes it back after a while in any case.
+    async fn grant(&self, id: u64, it: TurnWish) {
+        let inst = &self.inst;
+        let Some((_, up)) = find(inst, &it.server) else {
+            self.tell(id, Told::NotSent("unknown server".to_owned()));
+            return;
+        };
+        if up.crowd(inst.now()) {
+            tell_homes(inst, &up);
+        }
+        let rank = Rank { aim: it.rank.aim + inst.now(), ..it.rank };
+        let until = Instant::now() + Duration::from_millis(it.wait_ms.into());
+        match up.shared.enter(rank, Some(it.slow), until).await {
+            Turn::Granted(permit) => {
+                // A link that has closed meanwhile needs no turn.
+                if self.tell(id, Told::Turn { turn: id, crowded: up.shared.is_crowded() }) {
+                    self.turns.borrow_mut().push((id, permit));
+                    sleep(TURN_MOST).await;
+                    self.end_turn(id);
+                }
             }
+            Turn::Refused => drop(self.tell(id, Told::Refused)),
+            Turn::Late => drop(self.tell(id, Told::Busy)),
         }
-        Turn::Refused => drop(told(Told::Refused)),
-        Turn::Late => drop(told(Told::Busy)),
     }
-}
 
-async fn answer(
-    inst: Rc<Instance>,
-    streams: Streams,
-    held: HeldTurns,
-    out: UnboundedSender<Message>,
-    id: u64,
-    ask: Ask,
-) {
-    let told = match ask {
-        Ask::Run(it) => run(&inst, &streams, &out, *it).await,
-        Ask::Turn { server, rank, slow, wait_ms } => {
-            let wait = Duration::from_millis(wait_ms.into());
-            return grant(&inst, &held, &out, id, &server, rank, slow, wait).await;
-        }
-        Ask::Fetch(it) => handout::answer(&inst, it).await,
-        Ask::Order { server, order } => order_server(&inst, &server, &order).await,
-    };
-    // The link may have closed meanwhile; its other side knows.
-    out.send(Message::Told { id, told }).ok();
-}
+    fn end_turn(&self, turn: u64) {
+        self.turns.borrow_mut().retain(|it| it.0 != turn);
+    }
+
+    fn take_stream(&self, stream: u64) -> Option<Channel> {
+        let mut streams = self.streams.borrow_mut();
+        let at = streams.binary_search_by_key(&stream, |it| it.0).ok()?;
+        Some(streams.remove(at).1)
+    }
 
-fn take(streams: &Streams, stream: u64) -> Option<Channel> {
-    let mut streams = streams.borrow_mut();
-    let at = streams.binary_search_by_key(&stream, |it| it.0).ok()?;
-    Some(streams.remove(at).1)
+    fn put_stream(&self, stream: u64, channel: Channel) {
+        let mut streams = self.streams.borrow_mut();
+        let at = streams.partition_point(|old| old.0 < stream);
+        streams.insert(at, (stream, channel));
+    }
+
+    async fn run(&self, it: Run) -> Told {
+        let inst = &self.inst;
+        let now = Instant::now();
+        let end = now + Duration::from_millis(it.left_ms.into());
+        let Some((group, up)) = find(inst, &it.server) else {
+            return Told::NotSent("unknown server".to_owned());
+        };
+        let rank = it.rank.map(|it| Rank { aim: it.aim + inst.now(), ..it });
+        let mut channel = match (it.pinned, self.take_stream(it.stream)) {
+            (true, Some(it)) => it,
+            (true, None) => return Told::Broken("the transaction is gone".to_owned()),
+            (false, _) => {
+                let until = (now + Duration::from_millis(it.wait_ms.into())).min(end);
+                match reach(inst, &up, rank, it.slow, until).await {
+                    Ok(it) => Channel::Direct(it),
+                    Err(told) => return told,
+                }
+            }
+        };
+        let values = Rc::new(it.values);
+        let (sent, slow) = (inst.now(), it.slow);
+        let sending = Sending {
+            values: Some(&values),
+            named: it.named.as_ref(),
+            what: what(&it.what, it.named.as_ref()),
+            rank,
+            slow,
+            overdue: up.overdue(sent),
+            end,
+        };
+        let answer = match channel.run(inst, sending).await {
+            Ok(it) => it,
+            Err(e) => {
+                up.missed(&e, None, sent, inst.now());
+                return e.into();
+            }
+        };
+        up.judge(inst, &group, &answer, Exchange { sent, slow, direct: true });
+        match answer.txn {
+            TxnState::Idle => channel.give_back(),
+            // A link that has closed meanwhile takes its transactions with it.
+            TxnState::Open | TxnState::Failed if !self.out.is_closed() => {
+                channel.pin();
+                self.put_stream(it.stream, channel);
+            }
+            TxnState::Open | TxnState::Failed => {}
+        }
+        Told::Answer { answer, queued: up.is_queued() }
+    }
 }
 
 fn find(inst: &Instance, server: &Name) -> Option<(Rc<Group>, Rc<Upstream>)> {
@@ -156,55 +215,6 @@
     })
 }
 
-async fn run(inst: &Rc<Instance>, streams: &Streams, out: &UnboundedSender<Message>, it: Run) -> Told {
-    let now = Instant::now();
-    let end = now + Duration::from_millis(it.left_ms.into());
-    let Some((group, up)) = find(inst, &it.server) else { return Told::NotSent("unknown server".to_owned()) };
-    let rank = it.rank.map(|it| Rank { aim: it.aim + inst.now(), ..it });
-    let mut channel = match (it.pinned, take(streams, it.stream)) {
-        (true, Some(it)) => it,
-        (true, None) => return Told::Broken("the transaction is gone".to_owned()),
-        (false, _) => {
-            let until = (now + Duration::from_millis(it.wait_ms.into())).min(end);
-            match reach(inst, &up, rank, it.slow, until).await {
-                Ok(it) => Channel::Direct(it),
-                Err(told) => return told,
-            }
-        }
-    };
-    let values = Rc::new(it.values);
-    let (sent, slow) = (inst.now(), it.slow);
-    let sending = Sending {
-        values: Some(&values),
-        named: it.named.as_ref(),
-        what: what(&it.what, it.named.as_ref()),
-        rank,
-        slow,
-        overdue: up.overdue(sent),
-        end,
-    };
-    let answer = match channel.run(inst, sending).await {
-        Ok(it) => it,
-        Err(e) => {
-            up.missed(&e, None, sent, inst.now());
-            return e.into();
-        }
-    };
-    up.judge(inst, &group, &answer, Exchange { sent, slow, direct: true });
-    match answer.txn {
-        TxnState::Idle => channel.give_back(),
-        // A link that has closed meanwhile takes its transactions with it.
-        TxnState::Open | TxnState::Failed if !out.is_closed() => {
-            channel.pin();
-            let mut streams = streams.borrow_mut();
-            let at = streams.partition_point(|old| old.0 < it.stream);
-            streams.insert(at, (it.stream, channel));
-        }
-        TxnState::Open | TxnState::Failed => {}
-    }
-    Told::Answer { answer, queued: up.is_queued() }
-}
-
 /// A connection of this instance for another's statement, with a turn; or what the other is told instead.
 async fn reach(
     inst: &Rc<Instance>,
