Documents: one digest for each version, no copy of the directory

Change: the digest is kept with its version, the directory is looked at in place; who has a document carries its zone.

--- a/crates/engine/src/document.rs
+++ b/crates/engine/src/document.rs
@@ -16,7 +16,11 @@
     pondtrack_proto::Name,
     serde::{Deserialize, Serialize},
     snafu::Snafu,
-    std::{cell::RefCell, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -78,6 +82,10 @@
     routes: RefCell<ChangeLog>,
     groups: RefCell<ChangeLog>,
     servers: RefCell<ChangeLog>,
+    /// The digests of the newest configuration and directory, with their versions. To encode 900 servers for one takes
+    /// 60 µs, as long as all else of a difference, and each of 300 instances asks for one of its own.
+    desired_digest: Cell<Option<(u64, u64)>>,
+    directory_digest: Cell<Option<(u64, u64)>>,
 }
 
 fn database(it: &Route) -> &Name {
@@ -176,21 +184,34 @@
         }
         None => (0, Delta::whole(&it.routes), Delta::whole(&it.groups)),
     };
-    let digest = digest_of(&(&it.routes, &it.groups));
+    let digest = kept(&inst.history.desired_digest, it.version, || digest_of(&(&it.routes, &it.groups)));
     let (version, txn_idle, message_bytes) = (it.version, it.txn_idle, it.message_bytes);
     Some(DesiredChange { since, version, revision, routes, groups, txn_idle, message_bytes, digest })
 }
 
 fn directory(inst: &Instance, since: u64) -> Option<Document> {
     let revision = inst.revision(Collection::Servers).filter(|it| *it > since)?;
-    let all = inst.directory();
     let keys = (since > 0).then(|| inst.history.servers.borrow().since(since)).flatten();
-    let digest = digest_of(&all);
-    let (since, servers) = match keys {
-        Some(keys) => (since, Delta::of_keys(keys, &all, server)),
-        None => (0, Delta::whole(&all)),
-    };
-    Some(Document::Directory { since, revision, servers, digest })
+    inst.with_directory(|all| {
+        let digest = kept(&inst.history.directory_digest, revision, || digest_of(&all));
+        let (since, servers) = match keys {
+            Some(keys) => (since, Delta::of_keys(keys, all, server)),
+            None => (0, Delta::whole(all)),
+        };
+        Some(Document::Directory { since, revision, servers, digest })
+    })
+}
+
+/// A digest that is worked out once for each version.
+fn kept(cell: &Cell<Option<(u64, u64)>>, version: u64, digest: impl FnOnce() -> u64) -> u64 {
+    match cell.get() {
+        Some((at, it)) if at == version => it,
+        _ => {
+            let it = digest();
+            cell.set(Some((version, it)));
+            it
+        }
+    }
 }
 
 fn take_desired(inst: &Rc<Instance>, it: DesiredChange) -> Result<(), DocumentError> {
--- a/crates/engine/src/handout.rs
+++ b/crates/engine/src/handout.rs
@@ -64,6 +64,8 @@
     what: Collection,
     at: u64,
     to: Name,
+    /// Its availability zone, if it is known.
+    zone: Option<Name>,
 }
 
 /// What is being handed out, and who has it.
@@ -83,7 +85,7 @@
 pub async fn answer(inst: &Instance, it: Fetch) -> Told {
     let handout = &inst.handout;
     let told = match it.next {
-        Some((at, offset)) => handout.go_on(&it, at, offset as usize, inst.now()),
+        Some((at, offset)) => handout.go_on(inst, &it, at, offset as usize),
         None => begin(inst, &it).await,
     };
     if let Told::Part(part) = &told {
@@ -101,7 +103,7 @@
         };
         // Registered before the slots are looked at, so that none is missed.
         let freed = handout.freed.notified();
-        if doc.bytes.len() <= FREE_BYTES || handout.take_slot(it, &doc, inst.now()) {
+        if doc.bytes.len() <= FREE_BYTES || handout.take_slot(inst, it, &doc) {
             return Told::Part(part(&doc, 0));
         }
         if let Some(name) = handout.other(inst, it, &doc) {
@@ -133,7 +135,8 @@
     }
 
     /// Takes a slot for a document of more than one part, if there is one.
-    fn take_slot(&self, it: &Fetch, doc: &Doc, now: Micros) -> bool {
+    fn take_slot(&self, inst: &Instance, it: &Fetch, doc: &Doc) -> bool {
+        let now = inst.now();
         let mut transfers = self.transfers.borrow_mut();
         transfers.retain(|old| now.saturating_sub(old.asked) < micros(SLOT_LIMIT) && !old.is_of(it));
         if transfers.len() >= SLOTS {
@@ -142,36 +145,36 @@
         transfers.push(Transfer { to: it.from.clone(), doc: doc.clone(), asked: now });
         drop(transfers);
         if doc.bytes.len() <= PART_BYTES {
-            self.finish(it);
+            self.finish(inst, it);
         }
         true
     }
 
     /// The next part of a document that was begun.
-    fn go_on(&self, it: &Fetch, at: u64, offset: usize, now: Micros) -> Told {
+    fn go_on(&self, inst: &Instance, it: &Fetch, at: u64, offset: usize) -> Told {
         let mut transfers = self.transfers.borrow_mut();
         let known = transfers.iter_mut().find(|old| old.is_of(it) && old.doc.at == at);
         let Some(transfer) = known.filter(|it| offset < it.doc.bytes.len()) else {
             return Told::NotSent("the transfer was given up here".to_owned());
         };
-        transfer.asked = now;
+        transfer.asked = inst.now();
         let part = part(&transfer.doc, offset);
         let last = offset + part.bytes.len() == part.total as usize;
         drop(transfers);
         if last {
-            self.finish(it);
+            self.finish(inst, it);
         }
         Told::Part(part)
     }
 
     /// Frees the slot of a transfer whose last part has gone out.
-    fn finish(&self, it: &Fetch) {
+    fn finish(&self, inst: &Instance, it: &Fetch) {
         let mut transfers = self.transfers.borrow_mut();
         let Some(at) = transfers.iter().position(|old| old.is_of(it)) else { return };
         let Transfer { to, doc, .. } = transfers.remove(at);
         let mut given = self.given.borrow_mut();
         given.retain(|old| old.what != doc.what || (old.at == doc.at && old.to != to));
-        given.push(Given { what: doc.what, at: doc.at, to });
+        given.push(Given { what: doc.what, at: doc.at, zone: zone(inst, &to), to });
         self.freed.notify_waiters();
     }
 
@@ -179,16 +182,19 @@
     fn other(&self, inst: &Instance, it: &Fetch, doc: &Doc) -> Option<Name> {
         let given = self.given.borrow();
         let has = given.iter().filter(|old| (old.what, old.at) == (doc.what, doc.at) && old.to != it.from);
-        let names: Vec<&Name> = has.map(|it| &it.to).collect();
-        let zone = |name: &Name| inst.peer(name).map(|it| it.zone.clone());
-        let own = zone(&it.from);
-        let near: Vec<&Name> = names.iter().copied().filter(|it| zone(it) == own).collect();
-        let from = if near.is_empty() { names } else { near };
+        let own = zone(inst, &it.from);
+        let (near, far): (Vec<&Given>, Vec<&Given>) = has.partition(|it| it.zone == own);
+        let from = if near.is_empty() { far } else { near };
         let n = self.sent_on.replace(self.sent_on.get().wrapping_add(1));
-        from.get(n.checked_rem(from.len())?).map(|it| (*it).clone())
+        from.get(n.checked_rem(from.len())?).map(|it| it.to.clone())
     }
 }
 
+/// An instance's availability zone, if the instance is known.
+fn zone(inst: &Instance, name: &Name) -> Option<Name> {
+    inst.peer(name).map(|it| it.zone.clone())
+}
+
 impl Transfer {
     /// Whether a question is about it.
     fn is_of(&self, it: &Fetch) -> bool {
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -239,6 +239,11 @@
         self.directory.borrow().clone().unwrap_or_default()
     }
 
+    /// Looks at the directory of servers without a copy of it; empty until it was read.
+    pub fn with_directory<T>(&self, look: impl FnOnce(&[Server]) -> T) -> T {
+        look(self.directory.borrow().as_deref().unwrap_or_default())
+    }
+
     /// Takes a directory in, sorted by id.
     pub fn set_directory(self: &Rc<Self>, servers: Vec<Server>, revision: u64) {
         self.set_revision(Collection::Servers, revision);
