--- a/crates/engine/src/document.rs
+++ b/crates/engine/src/document.rs
@@ -103,6 +103,7 @@
 impl History {
     /// A configuration takes the place of another.
     pub fn note_desired(&self, old: Option<&Desired>, new: &Desired) {
+        self.desired_digest.set(None);
         let (routes, groups) = old.map_or((&[][..], &[][..]), |it| (&it.routes, &it.groups));
         self.routes.borrow_mut().note(new.version, touched(routes, &new.routes, database));
         self.groups.borrow_mut().note(new.version, touched(groups, &new.groups, group));
@@ -110,6 +111,7 @@
 
     /// A directory takes the place of another.
     pub fn note_directory(&self, old: &[Server], new: &[Server], revision: u64) {
+        self.directory_digest.set(None);
         self.servers.borrow_mut().note(revision, touched(old, new, server));
     }
 }
