--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -9,7 +9,7 @@
 /// Time after which an estimate without news counts half, so that a server that was slow or behind is tried
 /// again.
 const HALF_LIFE: f64 = 1_000_000.0;
-/// The most that a replica is taken to be behind, in microseconds: above the ages that the users' routes
+/// The most that a replica is taken to be behind, in microseconds: above the ages that routes
 /// allow, and little enough to be tried again soon.
 const LAG_MOST: Time = 4_000_000;
 /// What another availability zone costs: the crossing both ways, and the price of the bytes. The near server is
--- a/crates/engine/src/document.rs
+++ b/crates/engine/src/document.rs
@@ -1,7 +1,7 @@
 //! What instances hand each other of a collection: its difference from a version that the other one has, or the whole.
 //!
-//! A change travels as what it changes: 1,400 further routes are 31 KB, an idle limit 50 bytes, where the whole of 2,800
-//! routes is 62 KB. A digest of the result goes along. Where it differs the whole is fetched instead, so that a wrong
+//! A change travels as what it changes: about 22 bytes for each route that changed, where the whole of 2,866 routes was
+//! 62 KB on the link. A digest of the result goes along. Where it differs the whole is fetched instead, so that a wrong
 //! difference can't be taken in.
 
 use {
@@ -83,7 +83,7 @@
     groups: RefCell<ChangeLog>,
     servers: RefCell<ChangeLog>,
     /// The digests of the newest configuration and directory, with their versions. To encode 900 servers for one takes
-    /// 60 µs, as long as all else of a difference, and each of 300 instances asks for one of its own.
+    /// 60 µs (release, one process), and each of 300 instances may ask for a difference of its own.
     desired_digest: Cell<Option<(u64, u64)>>,
     directory_digest: Cell<Option<(u64, u64)>>,
 }
--- a/crates/engine/src/handout.rs
+++ b/crates/engine/src/handout.rs
@@ -28,7 +28,7 @@
 
 /// Documents that are handed out at the same time. With one, a link stands idle while the other side takes a part and
 /// asks for the next; more than two make all of a round late: 72 instances take about 7.8 times as long as one
-/// copy with two, 10.6 times with four.
+/// copy with two, 10.6 times with four (reckoned: rounds, each as long as its copies).
 pub const SLOTS: usize = 2;
 /// Bytes of a part: 6.5 ms of a link of 10 Mbit/s, the least that instances have today, 33 ms of one with 2 Mbit/s.
 pub const PART_BYTES: usize = 8 << 10;
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -96,7 +96,7 @@
 /// A statement that takes longer at a server than this share of its route's objective is slow: the server
 /// has a queue. Work alone is a tenth of the objectives that the users name.
 pub const SLOW_SHARE: f64 = 0.25;
-/// What a transaction counts among those that wait to begin, in statements: the users' have up to twelve.
+/// What a transaction counts among those that wait to begin, in statements: callers' have up to twelve.
 pub const TXN_STATEMENTS: u64 = 4;
 /// The share of a route's time limit for which a statement waits for a busy server. Callers try three
 /// times and give up after about three such limits; less than half of that is the most they should wait for nothing.
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -28,7 +28,7 @@
 };
 
 /// Between two beats of an instance that watches, as a share of the time in which a change has to be in force:
-/// 800 of the users' 3,000 ms.
+/// 800 of 3,000 ms.
 const BEAT_SHARE: f64 = 0.267;
 /// Without a beat of one that can watch for this share of the same time an instance watches itself: two beats,
 /// and room for a call of the store.
--- a/crates/pondtrackd/src/hosted.rs
+++ b/crates/pondtrackd/src/hosted.rs
@@ -1,4 +1,4 @@
-//! An instance on the users' platform: the engine with the edge of `pondtrack-platform`.
+//! An instance on the platform: the engine with the edge of `pondtrack-platform`.
 
 use {
     crate::{reload, telemetry},
--- a/crates/pondtrackd/src/lib.rs
+++ b/crates/pondtrackd/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! | module | holds |
 //! | --- | --- |
-//! | [`hosted`] | an instance on the users' platform |
+//! | [`hosted`] | an instance on the platform |
 //! | [`reload`] | its settings, when they change |
 //! | [`settings`] | flags and environment variables, checked before anything listens |
 //! | [`node`] | what the parts of an instance share |
--- a/crates/pondtrackd/src/reload.rs
+++ b/crates/pondtrackd/src/reload.rs
@@ -1,4 +1,4 @@
-//! Settings of an instance on the users' platform that change while it runs.
+//! Settings of an instance on the platform that change while it runs.
 //!
 //! The file is read again at SIGHUP, and when it looks changed: the platform may replace it without a signal.
 //! Times take effect at once. Addresses and names take effect at the next start; a file that can't be used
