Terms: homes drop worthless ones, get others from each other, and change the primary with one in hand

Cause: blocks lie one above the other; a change with the highest makes all others worthless, and they were counted as usable until one was asked for. The limit for a change of primary also ended the two calls that bring a term. Ruled out: servers that don't answer orders (a change took 2 ms once its term was there).

--- a/crates/core/src/grant.rs
+++ b/crates/core/src/grant.rs
@@ -3,6 +3,9 @@
 //! The group's record on the platform gives out each term once, in blocks. A home keeps a block, so that
 //! a failover needs no platform call and several are possible while the platform is down. Two holders
 //! never have the same term; of two that race, the servers refuse the lower.
+//!
+//! Blocks lie one above the other, so a change with a term of one makes all lower blocks worthless. Homes
+//! whose terms are gone that way get a part of the block in use from its holder, without the platform.
 
 use pondtrack_proto::{Term, TermRecord};
 
@@ -42,7 +45,20 @@
         self.blocks.retain(|it| it.0 < it.1);
     }
 
-    /// How many usable terms are left.
+    /// Parts with the upper half of a block, for another home; none when no home could do with less.
+    ///
+    /// The lower half stays: whoever changed the primary last is the likeliest to do so again, and what it
+    /// takes next then leaves the terms of the others usable.
+    pub fn share(&mut self, known: Term) -> Option<(Term, Term)> {
+        self.forget(known);
+        let block = self.blocks.iter_mut().max_by_key(|it| it.1.0 - it.0.0)?;
+        let half = (block.1.0 - block.0.0) / 2;
+        let first = Term(block.1.0 - half);
+        let upper = (first, std::mem::replace(&mut block.1, first));
+        (half > 0).then_some(upper)
+    }
+
+    /// How many terms are left; some may be of no use, unless [`Grants::forget`] was told of the newest.
     pub fn left(&self) -> u64 {
         self.blocks.iter().map(|it| it.1.0 - it.0.0).sum()
     }
--- a/crates/core/tests/safety.rs
+++ b/crates/core/tests/safety.rs
@@ -108,6 +108,33 @@
     assert!(taken.iter().all(|it| *it > Term(3)));
 }
 
+#[test]
+fn shared_terms_are_nobody_elses() {
+    let mut giver = Grants::default();
+    giver.add(Term(2), Term(2 + BLOCK));
+    let mut taken = Vec::new();
+    let mut parts = 0;
+    while let Some((first, end)) = giver.share(Term(3)) {
+        parts += 1;
+        taken.extend((first.0..end.0).map(Term));
+    }
+    while let Some(it) = giver.take(Term(3)) {
+        taken.push(it);
+    }
+    taken.sort_unstable();
+    let all: Vec<Term> = (4..2 + BLOCK).map(Term).collect();
+    assert_eq!(taken, all, "each term above the known one, once");
+    assert!(parts >= 3, "one part for each of the other homes, and more");
+}
+
+#[test]
+fn a_last_term_is_kept() {
+    let mut it = Grants::default();
+    it.add(Term(2), Term(4));
+    assert_eq!(it.share(Term(2)), None);
+    assert_eq!(it.take(Term(2)), Some(Term(3)));
+}
+
 #[test]
 fn terms_below_the_known_one_are_forgotten() {
     let mut it = Grants::default();
--- a/crates/pondtrackd/src/home/failover.rs
+++ b/crates/pondtrackd/src/home/failover.rs
@@ -2,7 +2,11 @@
 
 use {
     super::{Home, ORDER_LIMIT},
-    crate::{keeper, node::Node, telemetry::Count},
+    crate::{
+        keeper::{self, Need},
+        node::Node,
+        telemetry::Count,
+    },
     pondtrack_core::{
         Time,
         detect::{Cause, Opinion},
@@ -47,6 +51,8 @@
     let mut apart: Vec<Option<Time>> = vec![None; home.servers.len()];
     let mut absent = None;
     let mut vetoed = VETOED.0;
+    let mut known = Term::default();
+    let mut short = false;
     while !home.closing.get() {
         sleep(LOOK).await;
         let now = node.now();
@@ -64,10 +70,30 @@
         }
         absent = home.primary().is_none().then(|| absent.unwrap_or(now));
         take_back(&node, &home, &mut apart);
+        let term = home.term();
+        if term != known {
+            // What was taken ahead may be below it, and then of no use any longer.
+            known = term;
+            keeper::replenish(&node, &home, Need::Ahead);
+        }
         if now < quiet_until || home.switching.get() || home.held.get().is_some_and(|it| it > now) {
             continue;
         }
         let Some(cause) = judge(&node, &home, now, absent, &apart) else { continue };
+        if home.grants.borrow().left() == 0 {
+            // A change begins with a term in hand: its limit would end the calls that bring one, for ever if these
+            // are slower than it.
+            keeper::replenish(&node, &home, Need::Now);
+            if !std::mem::replace(&mut short, true) {
+                node.decide(
+                    &home.group,
+                    "a change of primary waits for a term",
+                    evidence(&node, &home, cause),
+                );
+            }
+            continue;
+        }
+        short = false;
         let primary = home.primary();
         let opinions = ask_others(&node, &home).await;
         let term = if cause == Cause::Stranded { home.term() } else { leading_term(&home, primary) };
@@ -202,11 +228,12 @@
 
 /// Changes the primary.
 pub async fn change(node: &Rc<Node>, home: &Rc<Home>, wish: Wish) -> Result<(Term, Name), String> {
+    let term = take_term(node, home).await?;
     if home.switching.replace(true) {
         return Err("another change is under way".to_owned());
     }
     node.count(Count::Switches);
-    let out = match timeout(SWITCH_LIMIT, drive(node, home, wish)).await {
+    let out = match timeout(SWITCH_LIMIT, drive(node, home, wish, term)).await {
         Ok(it) => it,
         Err(_) => Err(format!("not done within {} ms", SWITCH_LIMIT.as_millis())),
     };
@@ -219,8 +246,7 @@
     out
 }
 
-async fn drive(node: &Rc<Node>, home: &Rc<Home>, wish: Wish) -> Result<(Term, Name), String> {
-    let term = take_term(node, home).await?;
+async fn drive(node: &Rc<Node>, home: &Rc<Home>, wish: Wish, term: Term) -> Result<(Term, Name), String> {
     let spec = home.spec.borrow().clone();
     let avoid = (0..spec.servers.len()).filter(|n| spec.servers[*n].draining).collect();
     let (mut switch, first) =
--- a/crates/pondtrackd/src/keeper.rs
+++ b/crates/pondtrackd/src/keeper.rs
@@ -10,7 +10,7 @@
         PlatformError,
         platform::{Call, Listing, Object},
     },
-    pondtrack_proto::{Fact, FactKey, FactKind, Name, Term, TermRecord},
+    pondtrack_proto::{Fact, FactKey, FactKind, Name, PeerMsg, Term, TermRecord},
     std::{rc::Rc, sync::Arc, time::Duration},
     strum::IntoStaticStr,
     tokio::time::sleep,
@@ -24,6 +24,15 @@
     Term,
 }
 
+/// How soon terms are needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// For a failover to come.
+    Ahead,
+    /// A failover waits for them.
+    Now,
+}
+
 /// Kinds that are watched and spread.
 const WATCHED: [FactKind; 3] = [FactKind::Group, FactKind::Plan, FactKind::Leave];
 /// First and longest wait after a failed call, in milliseconds.
@@ -32,6 +41,13 @@
 const PEERS_FIRST: u64 = 700;
 /// Between two reads of the platform's list of instances, in milliseconds.
 const LIST_PERIOD: u64 = 10_000;
+/// Blocks of terms that are taken ahead are asked for within this time, in milliseconds, so that homes which start at
+/// once don't ask at once.
+const REFILL_SPREAD: u64 = 500;
+/// Pause after the platform gave no terms.
+const REFILL_PAUSE: Duration = Duration::from_millis(200);
+/// Time for another home to part with terms: two crossings of availability zones and what waits there.
+const SHARE_LIMIT: Duration = Duration::from_millis(150);
 /// Most tries to record a term.
 const RECORD_TRIES: usize = 200;
 
@@ -169,22 +185,59 @@
 }
 
 /// Takes terms ahead for the homes here that are low on them.
-pub fn refill_all(node: &Rc<Node>) {
+pub fn replenish_all(node: &Rc<Node>) {
     for home in node.homes.borrow().iter() {
-        let low = home.grants.borrow().is_low();
-        if !low || home.closing.get() || home.asking.replace(true) {
-            continue;
+        replenish(node, home, Need::Ahead);
+    }
+}
+
+/// Drops the terms of a home that are no longer of use, and takes more in the background if few are left.
+pub fn replenish(node: &Rc<Node>, home: &Rc<Home>, need: Need) {
+    let mut grants = home.grants.borrow_mut();
+    grants.forget(home.term());
+    let (low, none) = (grants.is_low(), grants.left() == 0);
+    drop(grants);
+    if !low || home.closing.get() || home.asking.replace(true) {
+        return;
+    }
+    let (node, home) = (node.clone(), home.clone());
+    tokio::task::spawn_local(async move {
+        if !none || !share_terms(&node, &home).await {
+            take_block(&node, &home, need).await;
+        }
+        home.asking.set(false);
+    });
+}
+
+async fn take_block(node: &Rc<Node>, home: &Home, need: Need) {
+    if need == Need::Ahead {
+        sleep(Duration::from_millis(node.random() % REFILL_SPREAD)).await;
+    }
+    if let Err(e) = refill(node, home).await {
+        log::debug!(step = "grant", peer = "platform", subject = home.group.as_str(); "{e}");
+        sleep(REFILL_PAUSE).await;
+    }
+}
+
+/// Takes a part of the terms of another home of the group. While the platform is away this keeps failovers possible when
+/// the one home is lost whose block lies above the term in force.
+async fn share_terms(node: &Rc<Node>, home: &Home) -> bool {
+    let known = home.term();
+    let homes = node.homes_of(&home.spec.borrow()).homes.clone();
+    for peer in homes.into_iter().filter(|it| *it != node.name) {
+        let make = |id| PeerMsg::Terms { id, group: home.group.clone(), known };
+        let answer = node.peers.ask(node, &peer, make, SHARE_LIMIT).await;
+        if let Some(PeerMsg::TermsReply { block: Some((first, end)), .. }) = answer {
+            home.grants.borrow_mut().add(first, end);
+            node.decide(
+                &home.group,
+                "terms of another home were taken over",
+                format!("{first} to {end}, of {peer}"),
+            );
+            return true;
         }
-        let (node, home) = (node.clone(), home.clone());
-        tokio::task::spawn_local(async move {
-            let wait = node.random() % 500;
-            sleep(Duration::from_millis(wait)).await;
-            if let Err(e) = refill(&node, &home).await {
-                log::debug!(step = "grant", peer = "platform", subject = home.group.as_str(); "{e}");
-            }
-            home.asking.set(false);
-        });
     }
+    false
 }
 
 /// Takes one more block of terms for a group.
--- a/crates/pondtrackd/src/peers.rs
+++ b/crates/pondtrackd/src/peers.rs
@@ -239,7 +239,10 @@
         };
         let id = match &msg {
             PeerMsg::Reply(it) => it.id,
-            PeerMsg::HeardReply { id, .. } | PeerMsg::Held { id, .. } | PeerMsg::Told { id, .. } => *id,
+            PeerMsg::HeardReply { id, .. }
+            | PeerMsg::Held { id, .. }
+            | PeerMsg::Told { id, .. }
+            | PeerMsg::TermsReply { id, .. } => *id,
             _ => continue,
         };
         match node.peers.take(id) {
@@ -380,12 +383,18 @@
             let json = tell(node, &question);
             let _ = send.try_send(link::encode(&PeerMsg::Told { id, json }));
         }
+        PeerMsg::Terms { id, group, known } => {
+            // They are no longer this home's before they leave: a lost answer loses them, and no two have one.
+            let block = node.home(&group).and_then(|it| it.grants.borrow_mut().share(known.max(it.term())));
+            let _ = send.try_send(link::encode(&PeerMsg::TermsReply { id, block }));
+        }
         PeerMsg::Hello { .. }
         | PeerMsg::Reply(_)
         | PeerMsg::Beat
         | PeerMsg::HeardReply { .. }
         | PeerMsg::Held { .. }
-        | PeerMsg::Told { .. } => {}
+        | PeerMsg::Told { .. }
+        | PeerMsg::TermsReply { .. } => {}
     }
 }
 
--- a/crates/pondtrackd/src/run.rs
+++ b/crates/pondtrackd/src/run.rs
@@ -147,7 +147,7 @@
         for it in timers.take(now) {
             match it {
                 Part::Members => gossip::tick(&node),
-                Part::Grants => keeper::refill_all(&node),
+                Part::Grants => keeper::replenish_all(&node),
                 Part::Homes => node.homes.borrow_mut().retain(|it| !it.is_over()),
                 Part::Calls => keeper::count_calls(&node, &mut calls),
             }
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -205,6 +205,22 @@
         /// The answer.
         json: String,
     },
+    /// Asks a home for a part of the terms that it has taken ahead.
+    Terms {
+        /// Matches the answer.
+        id: u64,
+        /// The group.
+        group: Name,
+        /// The highest term known to the sender: only higher ones are of use.
+        known: Term,
+    },
+    /// Answers [`PeerMsg::Terms`].
+    TermsReply {
+        /// The id of the question.
+        id: u64,
+        /// The first term and the one after the last, now the sender's alone; none when there is none to spare.
+        block: Option<(Term, Term)>,
+    },
 }
 
 /// What an instance asks another for an operator.
