Turns: work of one kind costs the same for all instances

Cause: those that wait at a busy server are ordered by what their instance takes work to cost; an instance that took it to be long came last, was refused, and so never measured it anew. Ruled out: a lock that never opens; the stand-ins' thread alone (it is at its limit, but who is served differs by estimate). Change: the cost of a kind is averaged over the turns that were handed out, for all.

--- a/crates/core/src/turn.rs
+++ b/crates/core/src/turn.rs
@@ -3,7 +3,7 @@
 //! A limit on the statements at a server shrinks when they take long there or are refused, so that work waits
 //! here, where it can be put in order, and not in the server's queue. Of those that wait, transactions go first,
 //! as they hold a connection; then the route's priority decides; then whoever can still be answered in time;
-//! then the shorter work.
+//! then the shorter kind of work; then who came first.
 //!
 //! Order alone doesn't help where more is asked for than a server can do: what comes last waits until its time
 //! is over. So what would wait for a large part of the time that it has is refused at once, so that its caller can
@@ -16,7 +16,7 @@
 //! Times are microseconds.
 
 use {
-    crate::Time,
+    crate::{Time, balance::Average},
     serde::{Deserialize, Serialize},
 };
 
@@ -32,6 +32,8 @@
 /// A queue is one as long as somebody had to wait in this time: a few waves of callers.
 const LINGER: Time = 1_000_000;
 
+/// Kinds of work of which the cost is known at the same time: a server has fewer databases that are busy at once.
+const KINDS: usize = 256;
 /// The part of a new observation in the pace of turns.
 const PACE_WEIGHT: f64 = 0.1;
 /// The part of the time that is left, in percent, for which a statement may be expected to wait. In the model of
@@ -56,12 +58,8 @@
     pub statements: u64,
 }
 
-impl Rank {
-    /// The order at a time; the lowest goes first.
-    fn key(&self, now: Time) -> (bool, u8, bool, Time) {
-        (!self.pinned, self.priority, now > self.aim, self.cost * self.statements)
-    }
-}
+/// The order of those that wait; the lowest goes first.
+type Key = (bool, u8, bool, Time);
 
 /// The statements at one server. `T` stands for one that waits.
 #[derive(Debug)]
@@ -76,6 +74,9 @@
     handed: Option<Time>,
     /// How long it takes from one such turn to the next.
     interval: f64,
+    /// What work that got a turn costs, by kind, sorted. One figure for all instances: what an instance takes it to cost
+    /// rests on what it had served, so one that took it to be long would come last and never find out.
+    costs: Vec<(u64, Average)>,
 }
 
 impl<T> Default for Turns<T> {
@@ -88,6 +89,7 @@
             queued: None,
             handed: None,
             interval: 0.0,
+            costs: Vec::new(),
         }
     }
 }
@@ -148,8 +150,8 @@
 
     /// How long this would wait, as far as those before it and the pace of turns show.
     fn expected_wait(&self, rank: Rank, now: Time) -> Time {
-        let key = rank.key(now);
-        let before = self.waiting.iter().filter(|it| it.0.key(now) <= key).count();
+        let key = self.key(&rank, now);
+        let before = self.waiting.iter().filter(|it| self.key(&it.0, now) <= key).count();
         (before as f64 * self.interval) as Time
     }
 
@@ -181,11 +183,44 @@
         if self.running >= self.limit() {
             return None;
         }
-        let best = (0..self.waiting.len()).min_by_key(|at| self.waiting[*at].0.key(now))?;
+        let best = (0..self.waiting.len()).min_by_key(|at| self.key(&self.waiting[*at].0, now))?;
         self.running += 1;
-        // The order of arrival is kept for those that are alike.
         self.note_pace(now);
-        Some(self.waiting.remove(best).1)
+        // The order of arrival is kept for those that are alike.
+        let (rank, it) = self.waiting.remove(best);
+        self.note_cost(rank);
+        Some(it)
+    }
+
+    fn key(&self, rank: &Rank, now: Time) -> Key {
+        (!rank.pinned, rank.priority, now > rank.aim, self.cost(rank) * rank.statements)
+    }
+
+    /// What work costs: as its kind did, or as its instance takes it to cost where none of the kind had a turn yet.
+    fn cost(&self, rank: &Rank) -> Time {
+        let known = self.costs.binary_search_by_key(&rank.kind, |it| it.0);
+        known.map_or(rank.cost, |at| self.costs[at].1.get())
+    }
+
+    /// Work gets a turn. One that had none served yet can't say what it costs.
+    fn note_cost(&mut self, rank: Rank) {
+        if rank.cost == 0 {
+            return;
+        }
+        let found = self.costs.binary_search_by_key(&rank.kind, |it| it.0);
+        let at = match found {
+            Ok(at) => at,
+            // Others come: what is kept of those before is of no use, or soon learned anew.
+            Err(_) if self.costs.len() >= KINDS => {
+                self.costs = vec![(rank.kind, Average::default())];
+                0
+            }
+            Err(at) => {
+                self.costs.insert(at, (rank.kind, Average::default()));
+                at
+            }
+        };
+        self.costs[at].1.observe(rank.cost);
     }
 
     /// A turn goes to somebody who waited.
