--- a/crates/core/tests/turn.rs
+++ b/crates/core/tests/turn.rs
@@ -119,7 +119,8 @@
 ///
 /// Seen with 100 instances and more callers than one group of servers can serve: the four that had least served in ten
 /// seconds (1 to 3 of about 500 statements) had estimates of 20 to 104 ms, the four that had most (380 to 858) of 4 to
-/// 25 ms. What is refused is never measured, so the estimates stayed. Proved by the estimates in the instances' lines beside what each had served.
+/// 25 ms. What is refused is never measured, so the estimates stayed. Proved by the estimates in the instances' lines
+/// beside what each had served.
 #[test]
 fn work_of_a_kind_waits_alike_whatever_its_instance_takes_it_to_cost() {
     let mut it = Turns::default();
--- a/crates/pondtrackd/src/home/exec/resolve.rs
+++ b/crates/pondtrackd/src/home/exec/resolve.rs
@@ -17,7 +17,8 @@
     tokio::time::timeout,
 };
 
-/// Between two looks whether a primary whose connection broke is gone: it is asked at least each 150 ms.
+/// Between two looks whether a primary whose connection broke is gone: the first home asks it each 150 ms, the others each
+/// 450 ms, unless set otherwise.
 const LOOK: Duration = Duration::from_millis(50);
 
 impl Task<'_> {
