Leaders: who led each group is recorded in the store, for a holder that never heard the primary

Cause: a holder of the lease that never heard a group's primary knows its term from the replicas, but not who leads it. One server without an answer may then be the primary, or a replica that confirms another one's commits, so nobody was promoted until its entry was gone (about 6 s), or for good while the entry stayed.

Weighed: the directory's word alone (out of date after a promotion, and a replica may follow an unlisted primary); the lease's record (52 KB at 870 groups, rewritten every 0.4 s); an object for each group, written once a term by the holder (kept).

Change: the holder writes down whom it saw lead, and in which term. A group has a record before its first promotion is ordered; the lease says whether all holders so far did so. So where there is no record, the directory's primary is the first one and still leads. The only server without an answer is passed over like any silent primary, if it is proved that it leads, and the holder has watched for 2.5 s, so that entries of servers that live are back.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`gate`] | acknowledgements wait for a majority |
 //! | [`switch`] | fencing a majority and promoting one server |
 //! | [`grant`] | terms taken ahead of need |
+//! | [`leader`] | who leads a term whose primary gives no answer |
 //! | [`detect`] | when a primary is given up |
 //! | [`fresh`] | how old a replica's answer is |
 //! | [`request_key`] | keys of requests that run once at most |
@@ -45,6 +46,7 @@
 pub mod gate;
 pub mod grant;
 pub mod journal;
+pub mod leader;
 pub mod life;
 pub mod member;
 pub mod place;
--- a/crates/engine/src/document.rs
+++ b/crates/engine/src/document.rs
@@ -123,7 +123,7 @@
             Collection::Desired => inst.desired().map(|it| it.version),
             Collection::Servers => inst.revision(what),
             Collection::Instances => inst.members().map(|it| members_digest(&it)),
-            Collection::Leases => None,
+            Collection::Leases | Collection::Leaders => None,
         }
     }
 
@@ -132,7 +132,7 @@
     pub fn known(inst: &Instance, what: Collection) -> u64 {
         match what {
             Collection::Desired | Collection::Servers => Document::latest(inst, what).unwrap_or(0),
-            Collection::Instances | Collection::Leases => 0,
+            Collection::Instances | Collection::Leases | Collection::Leaders => 0,
         }
     }
 
@@ -142,7 +142,7 @@
             Collection::Desired => desired(inst, since).map(|it| Document::Desired(Box::new(it))),
             Collection::Servers => directory(inst, since),
             Collection::Instances => inst.members().map(Document::Members),
-            Collection::Leases => None,
+            Collection::Leases | Collection::Leaders => None,
         }
     }
 
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -98,7 +98,7 @@
             Some(Record::Unreadable(e)) => {
                 log::error!(collection:% = what, object = it.name.as_str(); "unreadable: {e}");
             }
-            Some(Record::Instance(_) | Record::Lease(_)) => {}
+            Some(Record::Instance(_) | Record::Lease(_) | Record::Leader(_)) => {}
             None => servers.retain(|old| old.id != it.name),
         }
     }
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -14,7 +14,7 @@
         },
         upstream::Upstream,
     },
-    pondtrack_core::{balance::Offer, fresh::Freshness, gate::Gate},
+    pondtrack_core::{balance::Offer, fresh::Freshness, gate::Gate, leader::Leader},
     pondtrack_proto::{Lsn, Mark, Name, Term},
     std::{
         cell::{Cell, RefCell},
@@ -78,6 +78,13 @@
         self.servers.borrow().get(at).filter(|it| !it.is_gone()).cloned()
     }
 
+    /// Who was last seen to lead, and in which term.
+    pub fn leader(&self) -> Option<Leader> {
+        let (term, at) = self.leader.get()?;
+        let server = self.servers.borrow()[at].entry().id.clone();
+        Some(Leader { term, server: Some(server) })
+    }
+
     /// Since when no primary is known.
     pub fn absent(&self) -> Option<Micros> {
         self.absent.get()
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -6,6 +6,7 @@
         document::History,
         group::Group,
         handout::Handout,
+        leaders::Leaders,
         lease::Tenure,
         message::Member,
         model::{Desired, Server},
@@ -117,6 +118,8 @@
     rng: RefCell<Pcg64Mcg>,
     /// The right to give orders, while this instance has it.
     pub tenure: Tenure,
+    /// Who led each group, as the store says.
+    pub leaders: Leaders,
     lines: Cell<(Micros, u32)>,
 }
 
@@ -144,6 +147,7 @@
             costs: RefCell::default(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::rng().random())),
             tenure: Tenure::default(),
+            leaders: Leaders::default(),
             lines: Cell::default(),
         })
     }
--- a/crates/engine/src/lease.rs
+++ b/crates/engine/src/lease.rs
@@ -50,6 +50,7 @@
 struct Held {
     token: u64,
     until: Micros,
+    complete: bool,
 }
 
 impl Tenure {
@@ -57,6 +58,11 @@
     pub fn token(&self, now: Micros) -> Option<u64> {
         self.held.get().filter(|it| now < it.until).map(|it| it.token)
     }
+
+    /// Whether every holder so far recorded a group in [`crate::leaders`] before its first promotion.
+    pub fn is_complete(&self) -> bool {
+        self.held.get().is_some_and(|it| it.complete)
+    }
 }
 
 /// What is known of the record.
@@ -78,12 +84,15 @@
     began: Micros,
     /// Whether the last write had no result.
     failing: bool,
+    /// Whether the record was there and is no more: who held it before isn't known any longer.
+    gone: bool,
 }
 
 /// Keeps the right, or takes it when it is free, for good.
 pub async fn keep(inst: Rc<Instance>) {
     let began = inst.now();
-    let mut it = Keeper { inst: inst.clone(), seen: None, sent: Vec::new(), began, failing: false };
+    let mut it =
+        Keeper { inst: inst.clone(), seen: None, sent: Vec::new(), began, failing: false, gone: false };
     while inst.leaving().is_none() {
         let pause = it.step().await;
         sleep(pause + Duration::from_millis(inst.random(100))).await;
@@ -135,7 +144,7 @@
 
     fn see(&mut self, object: Option<Object>, sent: Micros) {
         let Some(Object { revision, record: Some(Record::Lease(record)), .. }) = object else {
-            self.seen = None;
+            self.gone |= self.seen.take().is_some();
             return;
         };
         match &mut self.seen {
@@ -177,7 +186,8 @@
     /// Writes the record; what became of it decides whether this instance holds the right.
     async fn put(&mut self, holder: Name, token: u64, revision: Option<u64>) {
         let nonce = self.inst.random(u64::MAX);
-        let record = LeaseRecord { holder, token, nonce };
+        let complete = self.seen.as_ref().map_or(!self.gone, |it| it.record.complete);
+        let record = LeaseRecord { holder, token, nonce, complete };
         let sent = self.inst.now();
         self.sent.push((nonce, sent));
         if self.sent.len() > SENT {
@@ -195,6 +205,7 @@
             Err(StoreError::Conflict { current }) => self.conflict(current.map(|it| *it), sent),
             Err(StoreError::Missing) => {
                 self.seen = None;
+                self.gone = true;
                 self.lose("the record is gone");
             }
             Err(e) => {
@@ -220,7 +231,8 @@
     fn hold(&mut self, token: u64, sent: Micros) {
         self.failing = false;
         let until = sent + micros(HOLD);
-        self.inst.tenure.held.set(Some(Held { token, until }));
+        let complete = self.seen.as_ref().is_some_and(|it| it.record.complete);
+        self.inst.tenure.held.set(Some(Held { token, until, complete }));
     }
 
     fn lose(&self, why: &str) {
@@ -237,7 +249,7 @@
         let Some(seen) = &self.seen else { return };
         let (token, revision) = (seen.record.token, seen.revision);
         self.inst.tenure.held.set(None);
-        let record = LeaseRecord { holder: Name::new(), token, nonce: 0 };
+        let record = LeaseRecord { holder: Name::new(), nonce: 0, ..seen.record.clone() };
         self.inst.counters.one(Count::StoreCalls);
         let put = self.inst.edge.store.put(
             Collection::Leases,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`relay`] | statements run for others |
 //! | [`session`], [`statement`], [`read`], [`write`](mod@write), [`txn`] | callers |
 //! | [`lease`], [`takeover`] | the right to give orders, and changes of primary |
+//! | [`leaders`] | the record of who led each group |
 //! | [`count`], [`report`] | counters and histograms, and a line that shows them |
 
 pub mod ask;
@@ -35,6 +36,7 @@
 pub mod group;
 pub mod handout;
 pub mod instance;
+pub mod leaders;
 pub mod lease;
 pub mod link;
 pub mod message;
--- a/crates/engine/src/ports.rs
+++ b/crates/engine/src/ports.rs
@@ -14,6 +14,8 @@
     strum::{Display, IntoStaticStr},
 };
 
+pub use pondtrack_core::leader::Leader;
+
 /// Bytes that are not a message of the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("not a message of this protocol: {reason}"))]
@@ -92,6 +94,8 @@
     Instances,
     /// The right to give orders.
     Leases,
+    /// Who led each group, by the group's name.
+    Leaders,
 }
 
 /// An instance's own entry.
@@ -114,6 +118,10 @@
     pub token: u64,
     /// Tells writes apart, so that a lost answer is recognised.
     pub nonce: u64,
+    /// Whether every holder so far recorded a group in [`Collection::Leaders`] before its first promotion. A version that
+    /// doesn't know of it drops it.
+    #[serde(default)]
+    pub complete: bool,
 }
 
 /// What an object in the store holds.
@@ -127,6 +135,8 @@
     Instance(InstanceRecord),
     /// A lease.
     Lease(LeaseRecord),
+    /// Who led a group.
+    Leader(Leader),
     /// An object that can't be read, with the reason.
     Unreadable(String),
 }
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -15,9 +15,11 @@
         instance::{Instance, Micros, micros},
         model::{Order, Role, Status},
         ports::PromoteError,
+        settings::GONE_AFTER,
         upstream::Upstream,
     },
     futures::future::join_all,
+    pondtrack_core::leader::Leader,
     pondtrack_proto::{Lsn, Mark, Name, Term},
     std::{rc::Rc, time::Duration},
     strum::{Display, IntoStaticStr},
@@ -70,6 +72,16 @@
 /// Why a change didn't come about.
 type Failed = &'static str;
 
+/// What a change begins with.
+#[derive(Clone, Copy, Debug)]
+struct Begin {
+    cause: Cause,
+    /// The position of the primary that no replica was seen to have.
+    ahead: Option<Lsn>,
+    /// Whether the group was watched for so long that the entries of all servers that live would be back.
+    settled: bool,
+}
+
 /// Watches the groups while this instance has the right to give orders, for good.
 pub async fn watch(inst: Rc<Instance>) {
     let mut watched: Vec<Watched> = Vec::new();
@@ -86,6 +98,7 @@
             });
             watched[at].look(&inst);
         }
+        inst.leaders.keep(&inst);
     }
 }
 
@@ -119,7 +132,8 @@
         match self.cause(now) {
             Some(cause) => {
                 let ahead = self.ahead.map(|it| it.position);
-                let change = change(inst.clone(), self.group.clone(), cause, ahead);
+                let settled = now.saturating_sub(self.since) >= micros(GONE_AFTER);
+                let change = change(inst.clone(), self.group.clone(), Begin { cause, ahead, settled });
                 self.change = Some(tokio::task::spawn_local(change));
                 self.ahead = None;
             }
@@ -223,12 +237,13 @@
     }
 }
 
-async fn change(inst: Rc<Instance>, group: Rc<Group>, cause: Cause, ahead: Option<Lsn>) {
+async fn change(inst: Rc<Instance>, group: Rc<Group>, begin: Begin) {
+    let cause = begin.cause;
     let began = Instant::now();
     let term = group.term();
     let old = group.primary().map_or(Name::new(), |it| it.entry().id.clone());
     log::info!(group = group.name.as_str(), primary = old.as_str(), term = term.0, cause:% = cause; "change of primary begins");
-    let changed = Change { inst: &inst, group: &group, term, cause, ahead }.run().await;
+    let changed = Change { inst: &inst, group: &group, term, begin }.run().await;
     let took_ms = began.elapsed().as_millis() as u64;
     match changed {
         Ok(id) => {
@@ -247,35 +262,42 @@
     group: &'a Rc<Group>,
     /// The term that is to end.
     term: Term,
-    cause: Cause,
-    /// The position of the primary that no replica was seen to have.
-    ahead: Option<Lsn>,
+    begin: Begin,
 }
 
 impl Change<'_> {
     async fn run(&self) -> Result<Name, Failed> {
-        let old = self.group.primary();
-        let others = self.others(old.as_deref());
+        let mut old = self.group.primary();
+        let mut others = self.others(old.as_deref());
         let answers = join_all(others.iter().map(|it| self.give(it, Order::Status))).await;
         if self.group.term() > self.term || self.came_back(old.as_deref()) {
             return Err("it is no longer needed");
         }
-        let mut known: Vec<(&Rc<Upstream>, Status)> =
-            others.iter().zip(answers).filter_map(|(it, status)| Some((it, status?))).collect();
+        let mut known: Vec<(Rc<Upstream>, Status)> =
+            others.iter().zip(answers).filter_map(|(it, status)| Some((it.clone(), status?))).collect();
         if known.iter().any(|it| it.1.role == Role::Primary && it.1.term >= self.term) {
             return Err("a primary was found");
         }
         known.retain(|it| it.1.role == Role::Replica);
         let has = |at: Lsn| known.iter().any(|it| it.1.received.lsn >= at);
-        if self.cause == Cause::Stalled && self.ahead.is_some_and(has) {
+        if self.begin.cause == Cause::Stalled && self.begin.ahead.is_some_and(has) {
             // Replicas that gave no answer before may have received it all the while.
             return Err("a replica has received what the primary wrote");
         }
         // The longest log first; of equal ones a server that stays.
         known.sort_by_key(|it| (std::cmp::Reverse(it.1.received), it.0.entry().draining));
         let Some(target) = known.first().map(|it| it.0.clone()) else { return Err("no replica answers") };
+        if old.is_none() {
+            old = self.unheard(&others, &known).await;
+            others = self.others(old.as_deref());
+        }
         let target = self.stop_others(&others, &target, old.as_ref()).await?;
-        let led = self.promote(&target).await;
+        // No promotion is ordered in a group without a record.
+        let server = old.as_ref().map(|it| it.entry().id.clone());
+        let led = match self.record(Leader { term: self.term, server }).await {
+            Some(_) => self.promote(&target).await,
+            None => Err("the store doesn't take who led"),
+        };
         self.clean(&others, old.as_deref(), &target).await;
         led.map(|()| target.entry().id.clone())
     }
@@ -291,10 +313,31 @@
         give(self.inst, self.group, it, &order).await
     }
 
+    /// The primary, where this instance never heard it: the only server without an answer, if it is proved that it leads.
+    /// Else that server may be a replica that speaks for another one.
+    async fn unheard(
+        &self,
+        others: &[Rc<Upstream>],
+        replicas: &[(Rc<Upstream>, Status)],
+    ) -> Option<Rc<Upstream>> {
+        let mut rest = others.iter().filter(|it| replicas.iter().all(|known| known.0.index != it.index));
+        let (Some(it), None, true) = (rest.next(), rest.next(), self.begin.settled) else { return None };
+        let leader = self.inst.leaders.proved(self.inst, self.group).filter(|id| *id == it.entry().id)?;
+        log::info!(group = self.group.name.as_str(), server = leader.as_str(), term = self.term.0; "leads, and was never heard here");
+        let proof = Leader { term: self.term, server: Some(leader) };
+        // What another instance recorded meanwhile goes first.
+        (self.record(proof.clone()).await? == proof).then(|| it.clone())
+    }
+
+    /// The record of who led the group; `leader` becomes it if there was none. None if the store doesn't answer.
+    async fn record(&self, leader: Leader) -> Option<Leader> {
+        self.inst.leaders.ensure(self.inst, &self.group.name, leader).await
+    }
+
     /// Whether the primary was heard after it had been given up.
     fn came_back(&self, old: Option<&Upstream>) -> bool {
         let Some(old) = old else { return false };
-        match self.cause {
+        match self.begin.cause {
             Cause::Silent => old.silent().is_none(),
             Cause::Refused => old.refused().is_none(),
             Cause::Leaving | Cause::Stalled | Cause::Absent => false,
