--- a/crates/pondtrackd/tests/program.rs
+++ b/crates/pondtrackd/tests/program.rs
@@ -68,6 +68,11 @@
     }
 }
 
+/// A settings file of this process alone: the same test may run in several at a time.
+fn settings_file(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}.toml", std::process::id()))
+}
+
 fn free_ports() -> [u16; 3] {
     let held = [(); 3].map(|()| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap());
     held.map(|it| it.local_addr().unwrap().port())
@@ -79,14 +84,14 @@
         let store = FakeStore::default();
         let _group = group(&store, 20).await;
         let front = http::front(&store, BTreeMap::new()).await;
-        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("reload.toml");
+        let file = settings_file("reload");
         let good = http::settings("a", "z1", free_ports(), &front, &[]);
         fs::write(&file, &good).unwrap();
         let program = Program::start(&file);
         program.line("configuration in force").await;
         fs::write(&file, "not settings").unwrap();
         let kept = program.line("the settings in force are kept").await;
-        assert!(kept.contains("ERROR") && kept.contains("reload.toml"), "{kept}");
+        assert!(kept.contains("ERROR") && kept.contains(file.to_str().unwrap()), "{kept}");
         fs::write(&file, good.replace("GraceS = 3", "GraceS = 11\nUnknown = 1")).unwrap();
         let line = program.line("settings read again").await;
         assert!(line.contains("grace_ms=11000") && line.contains("at_next_start=false"), "{line}");
@@ -107,7 +112,7 @@
         let store = FakeStore::default();
         let _group = group(&store, 20).await;
         let front = http::front(&store, BTreeMap::new()).await;
-        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("metrics.toml");
+        let file = settings_file("metrics");
         let ports = free_ports();
         fs::write(&file, http::settings("a", "z1", ports, &front, &[])).unwrap();
         let program = Program::start(&file);
