Reads, transactions: the term to be confirmed is that in which the server was chosen

Cause: the term was noted when a statement arrived. Where its primary became known or was replaced while it waited, it ran at the right server, and no replica could confirm the older term: refused after it had run, at once or after a whole change of primary.

Change: the term is noted when the server is chosen. It is still older than the sending, and the confirmation still answers a question that was sent after the arrival; so a primary that was replaced before the arrival shows nothing, as before.

--- a/crates/engine/src/read.rs
+++ b/crates/engine/src/read.rs
@@ -17,6 +17,7 @@
     },
     futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
     pondtrack_core::retry::Backoff,
+    pondtrack_proto::Term,
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
@@ -29,6 +30,8 @@
     up: Rc<Upstream>,
     channel: Channel,
     need: Need,
+    /// The group's term when the server was chosen.
+    term: Term,
     sent: Micros,
     got: Result<Answer, RunError>,
 }
@@ -39,8 +42,8 @@
 
 /// What became of one try.
 enum Landed {
-    /// The answer for the caller.
-    Done(Answer),
+    /// The answer for the caller, of a server that was chosen in this term.
+    Done(Answer, Term),
     /// It ran, and failed.
     Failed(Answer),
     /// It may have run.
@@ -82,7 +85,6 @@
             return busy("the group has no servers", TxnState::Idle);
         };
         let latest = self.route.policy == ReadPolicy::Latest;
-        let term = group.term();
         let mut tries = Tries::default();
         let mut flights: Flights = FuturesUnordered::new();
         let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
@@ -110,7 +112,7 @@
                 }
             };
             match self.landed(&group, flight) {
-                Landed::Done(answer) => {
+                Landed::Done(answer, term) => {
                     reap(flights);
                     if latest && !group.confirm(&self.inst, term, self.since, self.end).await {
                         return busy("the primary isn't confirmed", TxnState::Idle);
@@ -165,6 +167,8 @@
                 .await
                 .ok_or(Miss::Late("the group has no primary"))?,
         };
+        // It may have become known, or taken another's place, only after the read had come.
+        let term = group.term();
         tried.push(up.index);
         // Another server is tried soon, if there is one.
         let others = tried.len() < group.servers().len();
@@ -175,12 +179,12 @@
         let sent = inst.now();
         Ok(Box::pin(async move {
             let got = parcel.run(&inst, &up, &mut channel).await;
-            Flight { up, channel, need, sent, got }
+            Flight { up, channel, need, term, sent, got }
         }))
     }
 
     fn landed(&self, group: &Group, flight: Flight) -> Landed {
-        let Flight { up, channel, need, sent, got } = flight;
+        let Flight { up, channel, need, term, sent, got } = flight;
         let now = self.inst.now();
         let answer = match got {
             Ok(it) => it,
@@ -203,11 +207,11 @@
             None => {
                 let replica = group.primary().is_none_or(|it| it.index != up.index);
                 self.inst.counters.one(if replica { Count::ReplicaReads } else { Count::PrimaryReads });
-                Landed::Done(answer)
+                Landed::Done(answer, term)
             }
             Some(code) if code.not_run() => Landed::NotRun,
             Some(Code::Failed | Code::Timeout) => Landed::Failed(answer),
-            Some(_) => Landed::Done(answer),
+            Some(_) => Landed::Done(answer, term),
         }
     }
 }
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -141,7 +141,6 @@
         access: Access,
         tried: &mut Vec<usize>,
     ) -> Result<OpenTxn, Option<Answer>> {
-        let term = group.term();
         let need = self.need(session, group).await.map_err(Miss::refusal)?;
         let chosen = match (access, need.mark) {
             (Access::Read, Some(_)) => group.choose(&self.inst, need.since, tried),
@@ -154,6 +153,8 @@
                 primary.ok_or_else(|| Some(busy("the group has no primary", TxnState::Idle)))?
             }
         };
+        // It may have become known, or taken another's place, only after the statement had come.
+        let term = group.term();
         tried.push(up.index);
         let mut channel = self.reach(session, &up, self.end).await.map_err(Miss::refusal)?;
         let parcel = self.parcel(session, need.mark);
