Reads, transactions: what ran at a primary that was replaced meanwhile is asked of the next one

Cause: as in the test: refused after it had run, though reads and begins can be repeated.

Change: where the group's term has moved on, the answer is dropped and the next primary is asked, within the route's limit and the number of tries as after any refusal; where no replica answered, it is refused as before.

After: passes, with all others of the file and of failovers.

--- a/crates/engine/src/read.rs
+++ b/crates/engine/src/read.rs
@@ -12,7 +12,7 @@
         model::{Answer, Code, ReadPolicy, TxnState},
         session::Session,
         settings::{HEDGE_SHARE, RETRY_PAUSE, TRIES},
-        statement::{Miss, NO_TIME, Need, Work, busy},
+        statement::{Miss, NO_TIME, Need, UNCONFIRMED, Work, busy},
         upstream::Upstream,
     },
     futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
@@ -113,11 +113,14 @@
             };
             match self.landed(&group, flight) {
                 Landed::Done(answer, term) => {
-                    reap(flights);
-                    if latest && !group.confirm(&self.inst, term, self.since, self.end).await {
-                        return busy("the primary isn't confirmed", TxnState::Idle);
+                    if !latest || group.confirm(&self.inst, term, self.since, self.end).await {
+                        reap(flights);
+                        return answer;
                     }
-                    return answer;
+                    if group.term() == term {
+                        return busy(UNCONFIRMED, TxnState::Idle);
+                    }
+                    // The primary was replaced meanwhile: what it showed is dropped, and the next one is asked.
                 }
                 Landed::Failed(answer) => tries.failed = Some(answer),
                 Landed::Lost => tries.lost = true,
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -119,6 +119,9 @@
 /// Why a statement is refused that would wait for too long.
 pub const NO_TIME: &str = "the server has too much to do to answer in time";
 
+/// Why what a primary showed isn't passed on.
+pub const UNCONFIRMED: &str = "the primary isn't confirmed";
+
 /// Why a statement isn't at a server.
 pub enum Miss {
     /// It couldn't be sent to this one.
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -9,7 +9,7 @@
         model::{Access, Answer, Code, Order, ReadPolicy, Route, TxnState},
         session::{Session, text},
         settings::{ORDER_LIMIT, RETRY_PAUSE, TRIES},
-        statement::{Miss, NO_TIME, Work, busy, unknown},
+        statement::{Miss, NO_TIME, UNCONFIRMED, Work, busy, unknown},
         upstream::Upstream,
     },
     pondtrack_core::retry::Backoff,
@@ -181,7 +181,8 @@
         if self.route.policy == ReadPolicy::Latest
             && !group.confirm(&self.inst, term, self.since, self.end).await
         {
-            return Err(Some(busy("the primary isn't confirmed", TxnState::Idle)));
+            // Where it was replaced meanwhile, the next one is asked.
+            return Err((group.term() == term).then(|| busy(UNCONFIRMED, TxnState::Idle)));
         }
         channel.pin();
         let (inst, group, route) = (self.inst.clone(), group.clone(), self.route.clone());
