--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -2,7 +2,7 @@
 //!
 //! Times are microseconds. The figures are weights: only the order that they give matters.
 
-use crate::Time;
+use {crate::Time, std::borrow::Borrow};
 
 /// The part of a new observation in the average.
 const WEIGHT: f64 = 0.2;
@@ -53,6 +53,53 @@
     }
 }
 
+/// An average for each kind of work, sorted by kind.
+#[derive(Clone, Debug)]
+pub struct Averages<K> {
+    list: Vec<(K, Average)>,
+}
+
+impl<K> Default for Averages<K> {
+    fn default() -> Averages<K> {
+        Averages { list: Vec::new() }
+    }
+}
+
+impl<K: Ord> Averages<K> {
+    /// The average of a kind that was observed.
+    pub fn get<Q: Ord + ?Sized>(&self, kind: &Q) -> Option<Average>
+    where
+        K: Borrow<Q>,
+    {
+        let at = self.list.binary_search_by(|it| it.0.borrow().cmp(kind)).ok()?;
+        Some(self.list[at].1)
+    }
+
+    /// One more observation of a kind, in microseconds.
+    pub fn observe(&mut self, kind: K, took: Time) {
+        let at = self.list.binary_search_by(|it| it.0.cmp(&kind)).unwrap_or_else(|at| {
+            self.list.insert(at, (kind, Average::default()));
+            at
+        });
+        self.list[at].1.observe(took);
+    }
+
+    /// How many kinds were observed.
+    pub fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    /// Whether none was.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Forgets them all.
+    pub fn clear(&mut self) {
+        self.list.clear();
+    }
+}
+
 /// How long a server takes for a statement.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Pace {
--- a/crates/core/src/turn.rs
+++ b/crates/core/src/turn.rs
@@ -16,7 +16,10 @@
 //! Times are microseconds.
 
 use {
-    crate::{Time, balance::Average},
+    crate::{
+        Time,
+        balance::{Average, Averages},
+    },
     serde::{Deserialize, Serialize},
 };
 
@@ -74,9 +77,9 @@
     handed: Option<Time>,
     /// How long it takes from one such turn to the next.
     interval: f64,
-    /// What work that got a turn costs, by kind, sorted. One figure for all instances: what an instance takes it to cost
+    /// What work that got a turn costs, by kind. One figure for all instances: what an instance takes it to cost
     /// rests on what it had served, so one that took it to be long would come last and never find out.
-    costs: Vec<(u64, Average)>,
+    costs: Averages<u64>,
 }
 
 impl<T> Default for Turns<T> {
@@ -89,7 +92,7 @@
             queued: None,
             handed: None,
             interval: 0.0,
-            costs: Vec::new(),
+            costs: Averages::default(),
         }
     }
 }
@@ -198,8 +201,7 @@
 
     /// What work costs: as its kind did, or as its instance takes it to cost where none of the kind had a turn yet.
     fn cost(&self, rank: &Rank) -> Time {
-        let known = self.costs.binary_search_by_key(&rank.kind, |it| it.0);
-        known.map_or(rank.cost, |at| self.costs[at].1.get())
+        self.costs.get(&rank.kind).map_or(rank.cost, Average::get)
     }
 
     /// Work gets a turn. One that had none served yet can't say what it costs.
@@ -207,20 +209,11 @@
         if rank.cost == 0 {
             return;
         }
-        let found = self.costs.binary_search_by_key(&rank.kind, |it| it.0);
-        let at = match found {
-            Ok(at) => at,
-            // Others come: what is kept of those before is of no use, or soon learned anew.
-            Err(_) if self.costs.len() >= KINDS => {
-                self.costs = vec![(rank.kind, Average::default())];
-                0
-            }
-            Err(at) => {
-                self.costs.insert(at, (rank.kind, Average::default()));
-                at
-            }
-        };
-        self.costs[at].1.observe(rank.cost);
+        // Where others come, what is kept of those before is of no use, or soon learned anew.
+        if self.costs.len() >= KINDS && self.costs.get(&rank.kind).is_none() {
+            self.costs.clear();
+        }
+        self.costs.observe(rank.kind, rank.cost);
     }
 
     /// A turn goes to somebody who waited.
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -16,7 +16,10 @@
         spread::Spread,
         upstream::Upstream,
     },
-    pondtrack_core::{balance::Average, place},
+    pondtrack_core::{
+        balance::{Average, Averages},
+        place,
+    },
     pondtrack_proto::Name,
     rand::{RngExt, SeedableRng},
     rand_pcg::Pcg64Mcg,
@@ -114,7 +117,7 @@
     /// The clock.
     pub clock: Clock,
     /// How long statements take, by database.
-    costs: RefCell<Vec<(Name, Average)>>,
+    costs: RefCell<Averages<Name>>,
     rng: RefCell<Pcg64Mcg>,
     /// The right to give orders, while this instance has it.
     pub tenure: Tenure,
@@ -159,20 +162,15 @@
 
     /// How long statements of a database take.
     pub fn cost(&self, database: &str) -> Micros {
-        let costs = self.costs.borrow();
-        costs.binary_search_by(|it| it.0.as_str().cmp(database)).map_or(0, |at| costs[at].1.get())
+        self.costs.borrow().get(database).map_or(0, Average::get)
     }
 
     /// A statement of a database took this long at a server.
     pub fn spent(&self, database: &Name, took: Micros, queued: bool) {
         let mut costs = self.costs.borrow_mut();
-        let at = costs.binary_search_by(|it| it.0.cmp(database)).unwrap_or_else(|at| {
-            costs.insert(at, (database.clone(), Average::default()));
-            at
-        });
         // What it takes in a queue says little of the work, but more than nothing.
-        if !queued || !costs[at].1.is_settled() {
-            costs[at].1.observe(took);
+        if !queued || !costs.get(database).is_some_and(Average::is_settled) {
+            costs.observe(database.clone(), took);
         }
     }
 
@@ -367,24 +365,21 @@
         let entry = up.entry();
         let me = (&self.settings.name, &self.settings.zone);
         let all = peers.iter().map(|it| (&it.name, &it.zone)).chain([me]);
+        let mut ranked = place::rank(&entry.id, &entry.zone, all.clone());
+        up.set_dispatcher(ranked.first().filter(|it| **it != self.settings.name).cloned());
         let n = place::spread(conns, peers.len() + 1);
         up.shared.set_most(conns);
         let share = (conns * SHARED_TENTHS / 10 / n).max(1);
         let most = (conns * MOST_TENTHS / 10 / n).max(share);
         if n > peers.len() {
             // Each its own home; others are only gone through in need, each by another.
-            let first =
-                place::rank(&entry.id, &entry.zone, peers.iter().map(|it| (&it.name, &it.zone)).chain([me]));
-            up.set_dispatcher(first.first().filter(|it| **it != self.settings.name).cloned());
             let subject = format!("{} {}", entry.id, self.settings.name);
-            let mut ranked = place::rank(&subject, &entry.zone, all);
-            ranked.retain(|it| *it != self.settings.name);
+            let mut others = place::rank(&subject, &entry.zone, all);
+            others.retain(|it| *it != self.settings.name);
             up.pool.set_share(share, most);
-            let homes = ranked.len();
-            return up.place(true, ranked, homes);
+            let homes = others.len();
+            return up.place(true, others, homes);
         }
-        let mut ranked = place::rank(&entry.id, &entry.zone, all);
-        up.set_dispatcher(ranked.first().filter(|it| **it != self.settings.name).cloned());
         let mine = ranked.iter().position(|it| *it == self.settings.name).is_some_and(|at| at < n);
         // One that is no home may still be asked by another that can't reach any.
         let (share, most) = if mine { (share, most) } else { (0, SUBSTITUTE_CONNS) };
--- a/crates/pondtrackd/src/keeper.rs
+++ b/crates/pondtrackd/src/keeper.rs
@@ -214,7 +214,9 @@
         sleep(Duration::from_millis(node.random() % REFILL_SPREAD)).await;
     }
     if let Err(e) = refill(node, home).await {
-        log::debug!(step = "grant", peer = "platform", subject = home.group.as_str(); "{e}");
+        // Where a failover waits for the term, this is why it doesn't come about.
+        let level = if need == Need::Now { log::Level::Warn } else { log::Level::Debug };
+        log::log!(level, step = "grant", peer = "platform", subject = home.group.as_str(); "no term: {e}");
         sleep(REFILL_PAUSE).await;
     }
 }
