Leaders: a holder may pass over an unheard primary as soon as its instance has known the group for 2.5 s

Cause: the time in which entries of servers that live come back was counted from the taking of the lease, which itself takes 2.4 s where the holder was lost. What it guards against is a server that isn't listed when the instance learns of the group; one that vanishes later stays listed for as long.

--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -10,7 +10,8 @@
         instance::{Instance, Micros, micros},
         model::{Role, Server, Status},
         settings::{
-            ASK_OTHERS, EVIDENCE_PERCENT, GATE_PAUSE, GATE_PAUSE_MOST, LAG_FACTOR, ORDER_LIMIT, PRIMARY_PAUSE,
+            ASK_OTHERS, EVIDENCE_PERCENT, GATE_PAUSE, GATE_PAUSE_MOST, GONE_AFTER, LAG_FACTOR, ORDER_LIMIT,
+            PRIMARY_PAUSE,
         },
         upstream::Upstream,
     },
@@ -34,6 +35,8 @@
 pub struct Group {
     /// Its name.
     pub name: Name,
+    /// Since when this instance knows it.
+    known: Micros,
     /// Woken when something about the group has changed.
     pub changed: Notify,
     servers: RefCell<Vec<Rc<Upstream>>>,
@@ -48,9 +51,10 @@
 
 impl Group {
     /// A group of which no server is known.
-    pub fn new(name: Name) -> Group {
+    pub fn new(name: Name, now: Micros) -> Group {
         Group {
             name,
+            known: now,
             changed: Notify::new(),
             servers: RefCell::default(),
             term: Cell::default(),
@@ -67,6 +71,12 @@
         self.servers.borrow().iter().filter(|it| !it.is_gone()).cloned().collect()
     }
 
+    /// Whether it has been known for so long that a server whose entry had lapsed before is listed again, if it lives. One
+    /// whose entry lapses later stays listed for as long.
+    pub fn is_settled(&self, now: Micros) -> bool {
+        now.saturating_sub(self.known) >= micros(GONE_AFTER)
+    }
+
     /// The newest term that any server showed.
     pub fn term(&self) -> Term {
         self.term.get()
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -268,7 +268,7 @@
 
     fn group_of(&self, server: &Server) -> Rc<Group> {
         self.group(&server.group).unwrap_or_else(|| {
-            let it = Rc::new(Group::new(server.group.clone()));
+            let it = Rc::new(Group::new(server.group.clone(), self.now()));
             let mut groups = self.groups.borrow_mut();
             let at = groups.partition_point(|old| old.name < it.name);
             groups.insert(at, it.clone());
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -15,7 +15,6 @@
         instance::{Instance, Micros, micros},
         model::{Order, Role, Status},
         ports::PromoteError,
-        settings::GONE_AFTER,
         upstream::Upstream,
     },
     futures::future::join_all,
@@ -78,8 +77,6 @@
     cause: Cause,
     /// The position of the primary that no replica was seen to have.
     ahead: Option<Lsn>,
-    /// Whether the group was watched for so long that the entries of all servers that live would be back.
-    settled: bool,
 }
 
 /// Watches the groups while this instance has the right to give orders, for good.
@@ -132,8 +129,7 @@
         match self.cause(now) {
             Some(cause) => {
                 let ahead = self.ahead.map(|it| it.position);
-                let settled = now.saturating_sub(self.since) >= micros(GONE_AFTER);
-                let change = change(inst.clone(), self.group.clone(), Begin { cause, ahead, settled });
+                let change = change(inst.clone(), self.group.clone(), Begin { cause, ahead });
                 self.change = Some(tokio::task::spawn_local(change));
                 self.ahead = None;
             }
@@ -321,7 +317,8 @@
         replicas: &[(Rc<Upstream>, Status)],
     ) -> Option<Rc<Upstream>> {
         let mut rest = others.iter().filter(|it| replicas.iter().all(|known| known.0.index != it.index));
-        let (Some(it), None, true) = (rest.next(), rest.next(), self.begin.settled) else { return None };
+        let is_settled = self.group.is_settled(self.inst.now());
+        let (Some(it), None, true) = (rest.next(), rest.next(), is_settled) else { return None };
         let leader = self.inst.leaders.proved(self.inst, self.group).filter(|id| *id == it.entry().id)?;
         log::info!(group = self.group.name.as_str(), server = leader.as_str(), term = self.term.0; "leads, and was never heard here");
         let proof = Leader { term: self.term, server: Some(leader) };
