--- a/crates/pondtrackd/tests/program.rs
+++ b/crates/pondtrackd/tests/program.rs
@@ -4,12 +4,12 @@
 mod stand_in;
 
 use {
-    stand_in::{Caller, FakeStore, group, http, run},
+    stand_in::{Caller, FakeStore, group, http, ports::free_ports, run},
     std::{
         collections::BTreeMap,
         fs,
         io::{BufRead, BufReader},
-        net::{Ipv4Addr, SocketAddr, TcpListener},
+        net::{Ipv4Addr, SocketAddr},
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         sync::mpsc::{Receiver, channel},
@@ -73,11 +73,6 @@
     PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}.toml", std::process::id()))
 }
 
-fn free_ports() -> [u16; 3] {
-    let held = [(); 3].map(|()| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap());
-    held.map(|it| it.local_addr().unwrap().port())
-}
-
 #[test]
 fn changed_settings_take_effect_without_a_signal_and_bad_ones_change_nothing() {
     run(async {
--- a/crates/pondtrackd/tests/soak.rs
+++ b/crates/pondtrackd/tests/soak.rs
@@ -19,6 +19,7 @@
     stand_in::{
         Caller, FakeStore, Fault, Group, Outage, Told, group,
         http::{self, Front},
+        ports::free_ports,
         proxy::{Harm, Proxy},
     },
     std::{
@@ -29,7 +30,6 @@
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         rc::Rc,
-        sync::atomic::{AtomicU16, Ordering},
         time::Duration,
     },
     tokio::{
@@ -56,11 +56,6 @@
 const SERVER_LINGER: Duration = Duration::from_secs(3);
 /// Instances, unless `SOAK_INSTANCES` says how many: one for each availability zone.
 const INSTANCES: usize = 3;
-/// Where instances listen.
-const PORTS: std::ops::Range<u16> = 20_000..30_000;
-/// Ports between those of two soaks with neighbouring process ids: a soak of fifty seeds takes 450.
-const PORTS_APART: u32 = 1_009;
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 /// Acknowledged writes of which one is read.
 const LATEST: usize = 4;
 /// Callers, unless `SOAK_CALLERS` says how many.
@@ -176,7 +171,7 @@
             }
             let shown = group.servers.iter().zip(&ways).map(|(it, way)| (it.addr, way.addr));
             let front = http::front(&store, shown.collect::<BTreeMap<_, _>>()).await;
-            let ports = [free_port(), free_port(), free_port()];
+            let ports = free_ports();
             let name = format!("a{n}");
             let zone = ["z1", "z2", "z3"][n % 3];
             let file = dir.join(format!("{name}.toml"));
@@ -357,21 +352,6 @@
     }
 }
 
-/// A port for an instance, which has to be named in its settings. It is below those that the system gives to
-/// outgoing connections, of which one could take it before the instance starts.
-fn free_port() -> u16 {
-    // Far from those of other soaks at the same time, whose process ids are often neighbours.
-    let span = u32::from(PORTS.end - PORTS.start);
-    let first = PORTS.start + (std::process::id().wrapping_mul(PORTS_APART) % span) as u16;
-    loop {
-        let n = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = PORTS.start + (first - PORTS.start + n) % (PORTS.end - PORTS.start);
-        if std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
-            return port;
-        }
-    }
-}
-
 /// Keeps the servers' entries as the servers see themselves.
 async fn keep_entries(world: Rc<World>) {
     loop {
