Rejoining: a drop is looked for until the server has rejoined

Cause: how many entries a rejoining server had to drop was asked once, half a second after it was told to follow. A server that was slow or away then was never asked again, and the drop was explained nowhere.

Change: it is asked each half second, for ten seconds, until it has dropped something or its log ends in the new term.

--- a/crates/pondtrackd/src/home/failover.rs
+++ b/crates/pondtrackd/src/home/failover.rs
@@ -35,6 +35,10 @@
 const VETOED: (u64, u64) = (500, 8_000);
 /// Time for which a server may stand apart before it is told whom to follow, per rank of the home.
 const APART: u64 = 300;
+/// Between two looks whether a server that was told to follow has rejoined.
+const REJOIN_PAUSE: Duration = Duration::from_millis(500);
+/// Most of these looks: ten seconds, after which a server that is away is lost, or told to follow once more when it is back.
+const REJOIN_LOOKS: usize = 20;
 /// Time for which a server may know a higher term than the primary before the primary is renewed.
 const ABOVE: u64 = 600;
 
@@ -374,17 +378,24 @@
     }
     let what = format!("{name} follows the primary of term {term}");
     node.decide(&home.group, what, format!("it was {} of term {}", before.role, before.term));
-    report_dropped(node, home, n, before).await;
+    report_dropped(node, home, n, before, term).await;
 }
 
-/// Says how many entries, acknowledged to nobody, a server had to drop.
-async fn report_dropped(node: &Rc<Node>, home: &Rc<Home>, n: usize, before: Position) {
-    sleep(Duration::from_millis(500)).await;
-    let Ok(after) = home.order(node, n, Order::Position, ORDER_LIMIT).await else { return };
-    if after.dropped > before.dropped {
-        let name = home.servers[n].spec.borrow().name.clone();
-        let what = format!("{name} dropped {} entries on rejoining", after.dropped - before.dropped);
-        let evidence = format!("its log ended at {}; none of them was acknowledged", before.received);
-        node.decide(&home.group, what, evidence);
+/// Says how many entries, acknowledged to nobody, a server had to drop. It drops them once it reaches the new primary, and
+/// may be slow or away until then.
+async fn report_dropped(node: &Rc<Node>, home: &Rc<Home>, n: usize, before: Position, term: Term) {
+    for _ in 0..REJOIN_LOOKS {
+        sleep(REJOIN_PAUSE).await;
+        let Ok(after) = home.order(node, n, Order::Position, ORDER_LIMIT).await else { continue };
+        if after.dropped > before.dropped {
+            let name = home.servers[n].spec.borrow().name.clone();
+            let what = format!("{name} dropped {} entries on rejoining", after.dropped - before.dropped);
+            let evidence = format!("its log ended at {}; none of them was acknowledged", before.received);
+            return node.decide(&home.group, what, evidence);
+        }
+        if after.received.term >= term {
+            // It has rejoined, and had nothing to drop.
+            return;
+        }
     }
 }
