Testbed: the address of a killed server or instance leads to nobody else

Cause: the network between the parts of a cluster went on to the port of a killed process, which another cluster's server of the same name and group could have been given meanwhile.

Change: the address leads nowhere from the kill on, until the process is started again.

--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -251,6 +251,25 @@
         Ok(())
     }
 
+    /// Kills a server.
+    pub async fn kill_db(&mut self, at: usize) {
+        let it = &mut self.dbs[at];
+        it.front.clear();
+        if let Some(mut process) = it.process.take() {
+            process.kill().await;
+        }
+    }
+
+    /// Kills an instance.
+    pub async fn kill_instance(&mut self, n: usize) {
+        let it = &mut self.instances[n];
+        it.callers.clear();
+        it.peers.clear();
+        if let Some(mut process) = it.process.take() {
+            process.kill().await;
+        }
+    }
+
     /// Starts an instance by its number, also again after it was killed.
     pub async fn start_instance(&mut self, n: usize) -> io::Result<()> {
         let zone = n % self.deployment.zones.len();
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -58,6 +58,11 @@
         *self.target.lock().expect("no panic while held") = Some(target);
     }
 
+    /// The part is about to end: its port may soon be another program's, of which this address knows nothing.
+    pub fn clear(&self) {
+        *self.target.lock().expect("no panic while held") = None;
+    }
+
     fn target(&self) -> Option<SocketAddr> {
         *self.target.lock().expect("no panic while held")
     }
