Failover: a primary counts as absent once a majority of the servers was heard

Cause: a home that had heard no server took the primary for absent 400 ms after its first look, and began a change of primary; its fences came as soon as the servers could be reached, and a primary that was well was replaced.

Change: the time without a primary counts while a majority of the servers has told its position. With fewer no change could come about.

--- a/crates/pondtrackd/src/home/failover.rs
+++ b/crates/pondtrackd/src/home/failover.rs
@@ -72,7 +72,7 @@
         } else if home.lost.get().is_none() {
             home.lost.set(Some(now));
         }
-        absent = home.primary().is_none().then(|| absent.unwrap_or(now));
+        absent = misses_primary(&home).then(|| absent.unwrap_or(now));
         take_back(&node, &home, &mut apart);
         let term = home.term();
         if term != known {
@@ -131,6 +131,13 @@
     }
 }
 
+/// Whether no server is the primary, as far as a majority has told. An instance that has just started and heard fewer knows
+/// nothing of a primary; the fences that it sent would come as soon as the servers can be reached.
+fn misses_primary(home: &Home) -> bool {
+    let told = home.servers.iter().filter(|it| it.view.borrow().position.is_some()).count();
+    told >= home.spec.borrow().majority() && home.primary().is_none()
+}
+
 fn judge(node: &Node, home: &Home, now: Time, absent: Option<Time>, apart: &[Option<Time>]) -> Option<Cause> {
     let reachable = home.servers.iter().filter(|it| it.view.borrow().heard.refused.is_none()).count();
     if reachable < home.spec.borrow().majority() {
