--- a/crates/engine/src/model.rs
+++ b/crates/engine/src/model.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    pondtrack_proto::{Mark, Name, Term},
+    pondtrack_proto::{Incarnation, Mark, Name, Term},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddrV4, time::Duration},
     strum::{Display, IntoStaticStr},
@@ -343,6 +343,8 @@
 pub struct Server {
     /// Its id; another server at the same address has another one.
     pub id: Name,
+    /// The run of its process that wrote the entry.
+    pub incarnation: Incarnation,
     /// The group it belongs to.
     pub group: Name,
     /// Its address.
--- a/crates/proto/src/ids.rs
+++ b/crates/proto/src/ids.rs
@@ -21,6 +21,19 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Lsn(pub u64);
 
+/// One run of a server's process. A server that starts again under its id holds and knows nothing of the runs before.
+///
+/// Source: the server's entry in the directory. Clocks may be set back, so a later run may state an earlier start: runs are
+/// told apart, and not put in order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Incarnation {
+    /// The entry doesn't state a start: the id alone tells the server apart.
+    #[default]
+    Unstated,
+    /// The process started at this time, in Unix milliseconds.
+    Started(u64),
+}
+
 /// A position together with the term it was observed in.
 ///
 /// Ordered by term first, which is the order in which a promotion prefers logs.
@@ -48,6 +61,15 @@
     }
 }
 
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Incarnation::Unstated => f.write_str("unstated"),
+            Incarnation::Started(at) => at.fmt(f),
+        }
+    }
+}
+
 impl fmt::Display for Term {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! | module | holds |
 //! | --- | --- |
-//! | [`ids`] | names, terms, log positions, marks |
+//! | [`ids`] | names, terms, log positions, marks, runs of a server's process |
 //! | [`group`] | database groups, their servers and read policies |
 //! | [`plan`] | an operator's intent, its plan and its progress |
 //! | [`fact`] | versioned facts and digests spread between instances |
@@ -21,7 +21,7 @@
 pub use crate::{
     fact::{BUCKETS, Digest, Fact, FactKey, FactKind},
     group::{GroupSpec, ReadPolicy, ServerSpec, SpecError, TermRecord},
-    ids::{Lsn, Mark, Name, Term},
+    ids::{Incarnation, Lsn, Mark, Name, Term},
     member::{Datagram, MemberState, MemberView, Payload},
     peer::{Class, Outcome, PeerMsg, Question, Reply, Request, Served, TxnState},
     plan::{Intent, Plan, PlanState, Step, StepState},
