Servers: a run of a process is a server of its own; what came back with nothing, and a primary without its log

Cause: evidence was kept by a server's id, and trusted that it holds what it once held. Ruled out: that a later question corrects it. The gate keeps the highest position of a term, a stopped replica that starts again receives, and an empty primary is confirmed by replicas that follow it.

Change: a server that starts again takes a new place in its group's evidence, and nothing of its earlier run counts, also if an entry of that run comes once more (the order is the store's; clocks may be set back). Its word counts in terms that began after it was heard, in the present one once no change of primary that had stopped it can be under way (6.9 s) and every other replica shows so; where no replica's word counts, the term is ended as where none receives. While what was acknowledged with the word of a replica that came back may be held by the lost primary alone, nobody is promoted; once its entry is gone what is left goes on, with a line and a counter. A primary that shows less than a replica of its term had before has lost its log: it answers nothing and is replaced. Instances name the run when they ask each other. An entry that can't be read replaces the one before it. A group that the configuration doesn't name has nobody asked or promoted.

--- a/crates/core/src/fresh.rs
+++ b/crates/core/src/fresh.rs
@@ -52,6 +52,16 @@
         self.confirmed.resize(servers.max(self.confirmed.len()), None);
     }
 
+    /// A server's word no longer counts: it has lost its log, or started again.
+    pub fn forget(&mut self, server: usize) {
+        self.confirmed[server] = None;
+    }
+
+    /// What the primary showed no longer counts: it has lost its log, or another one leads the term.
+    pub fn forget_primary(&mut self) {
+        self.seen.clear();
+    }
+
     /// The primary of `term` showed the position `at` in the answer to a question sent at `sent`.
     pub fn observe(&mut self, term: Term, at: Mark, sent: Time) {
         if term != self.term || self.seen.back().is_some_and(|it| it.0 > sent) {
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -48,6 +48,11 @@
         self.logs.resize(servers.max(self.logs.len()), Mark::default());
     }
 
+    /// A server no longer holds what it showed: it has lost its log, or started again.
+    pub fn forget_server(&mut self, server: usize) {
+        self.logs[server] = Mark::default();
+    }
+
     /// The term whose commits it lets out.
     pub fn term(&self) -> Term {
         self.term
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,8 @@
 //! | [`switch`] | fencing a majority and promoting one server |
 //! | [`grant`] | terms taken ahead of need |
 //! | [`leader`] | who leads a term whose primary gives no answer |
+//! | [`claim`] | whether a primary holds what its replicas have received |
+//! | [`recovery`] | what a server counts for that came back with nothing |
 //! | [`detect`] | when a primary is given up |
 //! | [`fresh`] | how old a replica's answer is |
 //! | [`request_key`] | keys of requests that run once at most |
@@ -39,6 +41,7 @@
 pub mod admit;
 pub mod balance;
 pub mod chart;
+pub mod claim;
 pub mod classify;
 pub mod delta;
 pub mod detect;
@@ -51,6 +54,7 @@
 pub mod member;
 pub mod place;
 pub mod plan;
+pub mod recovery;
 pub mod request_key;
 pub mod retry;
 pub mod route;
--- a/crates/engine/src/ask.rs
+++ b/crates/engine/src/ask.rs
@@ -71,7 +71,7 @@
         let Some(peer) = it.fit_peer(inst) else { break };
         let sent = inst.now();
         it.asked.set(sent);
-        let ask = Ask::Order { server: it.entry().id.clone(), order: order.clone() };
+        let ask = Ask::Order { server: it.entry().as_ref().into(), order: order.clone() };
         match timeout(ORDER_LIMIT, peer.ask(inst, ask)).await {
             Ok(Told::Status(Some(status))) => {
                 group.saw(it, status, sent, inst.now());
--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -7,7 +7,7 @@
         dispatch::turn,
         instance::{Instance, Micros},
         link::Link,
-        message::{Ask, Run, Sent, Told},
+        message::{Ask, Run, Sent, ServerRun, Told},
         model::{Answer, Order, TxnState},
         pool::{Denied, Lease, Want},
         ports::{Forward, Text},
@@ -157,7 +157,7 @@
     peer: Name,
     link: Rc<Link>,
     stream: u64,
-    server: Name,
+    server: ServerRun,
     /// When a statement that waits there for a connection is to be given up.
     until: Instant,
     pinned: bool,
@@ -167,7 +167,7 @@
 
 impl Relayed {
     /// A stream over a link; nothing is sent yet.
-    pub fn new(peer: Name, link: Rc<Link>, server: Name, until: Instant) -> Relayed {
+    pub fn new(peer: Name, link: Rc<Link>, server: ServerRun, until: Instant) -> Relayed {
         let stream = link.stream();
         Relayed { peer, link, stream, server, until, pinned: false, queued: false }
     }
--- a/crates/engine/src/count.rs
+++ b/crates/engine/src/count.rs
@@ -51,6 +51,13 @@
     FetchesFailed,
     /// Bytes of these collections sent to other instances.
     SpreadBytes,
+    /// Servers that started again under their id.
+    Restarts,
+    /// Objects of the store that couldn't be read.
+    Unreadable,
+    /// Changes of primary after which acknowledged writes may be lost: a replica came back with nothing and the primary
+    /// was lost before another replica had all.
+    Losses,
     /// Log lines that were left out.
     LogsDropped,
 }
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -89,17 +89,26 @@
     let as_of = objects.as_of;
     // Another instance may have told of a later state while this answer was under way.
     let is_old = inst.revision(what).is_some_and(|it| it > as_of);
+
     let old = inst.directory();
     let mut servers = if whole { Vec::new() } else { old.clone() };
     for it in objects.items {
         match it.record {
             Some(Record::Desired(desired)) => inst.adopt(desired, as_of),
-            Some(Record::Server(server)) => put(&mut servers, server),
-            Some(Record::Unreadable(e)) => {
-                log::error!(collection:% = what, object = it.name.as_str(); "unreadable: {e}");
+            Some(Record::Server(server)) => {
+                inst.unreadable.borrow_mut().clear(what, &it.name);
+                put(&mut servers, server);
+            }
+            Some(Record::Unreadable(why)) => {
+                inst.note_unreadable(what, &it.name, &why);
+                // It names no server, also where it replaces an entry that did.
+                servers.retain(|old| old.id != it.name);
             }
             Some(Record::Instance(_) | Record::Lease(_) | Record::Leader(_)) => {}
-            None => servers.retain(|old| old.id != it.name),
+            None => {
+                inst.unreadable.borrow_mut().clear(what, &it.name);
+                servers.retain(|old| old.id != it.name);
+            }
         }
     }
     if what == Collection::Servers && !is_old && (servers != old || inst.revision(what).is_none()) {
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -7,15 +7,23 @@
 use {
     crate::{
         ask::ask_forever,
+        count::Count,
         instance::{Instance, Micros, micros},
         model::{Role, Server, Status},
         settings::{
-            ASK_OTHERS, EVIDENCE_PERCENT, GATE_PAUSE, GATE_PAUSE_MOST, GONE_AFTER, LAG_FACTOR, ORDER_LIMIT,
-            PRIMARY_PAUSE,
+            ASK_OTHERS, CHANGE_MOST, EVIDENCE_PERCENT, GATE_PAUSE, GATE_PAUSE_MOST, GONE_AFTER, LAG_FACTOR,
+            ORDER_LIMIT, PRIMARY_PAUSE,
         },
         upstream::Upstream,
     },
-    pondtrack_core::{balance::Offer, fresh::Freshness, gate::Gate, leader::Leader},
+    pondtrack_core::{
+        balance::Offer,
+        claim::{Claim, Verdict},
+        fresh::Freshness,
+        gate::Gate,
+        leader::Leader,
+        recovery::{Recovery, Witness},
+    },
     pondtrack_proto::{Lsn, Mark, Name, Term},
     std::{
         cell::{Cell, RefCell},
@@ -45,6 +53,8 @@
     /// Who was last seen to lead, and in which term: its word doesn't count beside its own commits.
     leader: Cell<Option<(Term, usize)>>,
     absent: Cell<Option<Micros>>,
+    /// Whether the term's primary holds what its replicas have.
+    claim: Cell<Claim>,
     fresh: RefCell<Freshness>,
     gate: RefCell<Gate>,
 }
@@ -61,6 +71,7 @@
             primary: Cell::default(),
             leader: Cell::default(),
             absent: Cell::default(),
+            claim: Cell::default(),
             fresh: RefCell::new(Freshness::new(0, REPLICAS)),
             gate: RefCell::new(Gate::new(0, REPLICAS)),
         }
@@ -95,15 +106,30 @@
         Some(Leader { term, server: Some(server) })
     }
 
+    /// The server that was last seen to lead, if it did so in the newest term and is still listed.
+    pub fn led_by(&self) -> Option<Rc<Upstream>> {
+        let (term, at) = self.leader.get()?;
+        let it = self.servers.borrow()[at].clone();
+        (term == self.term.get() && !it.is_gone()).then_some(it)
+    }
+
+    /// Whether a server calls itself the primary of the newest term and has lost its log.
+    pub fn lacks(&self, it: &Upstream) -> bool {
+        let claim = self.claim.get();
+        claim.claimant() == Some(it.index) && claim.verdict() == Verdict::Lacks
+    }
+
     /// Since when no primary is known.
     pub fn absent(&self) -> Option<Micros> {
         self.absent.get()
     }
 
-    /// Takes a server's entry in; a new server gets a task that asks it.
+    /// Takes a server's entry in; a new server, and a new run of a known one, gets a task that asks it.
     pub fn enter(self: &Rc<Self>, inst: &Rc<Instance>, server: Server) {
-        let known = self.servers.borrow().iter().find(|it| it.entry().id == server.id).cloned();
-        let Some(it) = known else { return self.add(inst, server) };
+        let Some(it) = self.present(&server.id) else { return self.add(inst, server, None) };
+        if it.entry().incarnation != server.incarnation {
+            return self.succeed(inst, &it, server);
+        }
         let hint = server.role == Some(Role::Primary) && it.entry().role != server.role;
         it.missing.set(None);
         if it.gone.replace(false) {
@@ -118,10 +144,42 @@
         self.changed.notify_waiters();
     }
 
+    /// The present run of a server, as far as it is known here.
+    fn present(&self, id: &Name) -> Option<Rc<Upstream>> {
+        let servers = self.servers.borrow();
+        servers.iter().find(|it| !it.succeeded.get() && it.entry().id == *id).cloned()
+    }
+
+    /// A server has started again. Nothing of what its earlier run showed counts, nor will it if an entry of that run
+    /// comes once more.
+    fn succeed(self: &Rc<Self>, inst: &Rc<Instance>, old: &Rc<Upstream>, server: Server) {
+        let now = inst.now();
+        let (id, run, before) = (server.id.as_str(), server.incarnation, old.entry().incarnation);
+        log::info!(group = self.name.as_str(), server = id, run:% = run, before:% = before; "started again");
+        inst.counters.one(Count::Restarts);
+        old.succeeded.set(true);
+        old.gone.set(true);
+        old.pool.trim(Instant::now(), true);
+        self.forget(old, now);
+        // Its task ends.
+        old.ask();
+        self.add(inst, server, Some(Recovery::new(now, micros(CHANGE_MOST))));
+        self.changed.notify_waiters();
+    }
+
+    /// What a server showed no longer counts.
+    fn forget(&self, it: &Upstream, now: Micros) {
+        self.fresh.borrow_mut().forget(it.index);
+        self.gate.borrow_mut().forget_server(it.index);
+        if self.primary.get() == Some(it.index) {
+            self.fresh.borrow_mut().forget_primary();
+            self.lose_primary(now);
+        }
+    }
+
     /// A server's entry was removed; it counts as gone if it stays away.
     pub fn leave(&self, id: &Name, now: Micros) {
-        let servers = self.servers.borrow();
-        if let Some(it) = servers.iter().find(|it| it.entry().id == *id) {
+        if let Some(it) = self.present(id) {
             it.missing.set(it.missing.get().or(Some(now)));
             // Whether it still answers shows whether it has left.
             if self.is_used() {
@@ -147,9 +205,10 @@
         gone
     }
 
-    fn add(self: &Rc<Self>, inst: &Rc<Instance>, server: Server) {
+    fn add(self: &Rc<Self>, inst: &Rc<Instance>, server: Server, recovery: Option<Recovery>) {
         let index = self.servers.borrow().len();
         let it = Rc::new(Upstream::new(index, server, inst.clock));
+        it.recovery.set(recovery);
         self.servers.borrow_mut().push(it.clone());
         self.fresh.borrow_mut().grow(index + 1);
         self.gate.borrow_mut().grow(index + 1);
@@ -161,7 +220,7 @@
     /// it: each of hundreds of instances asking each of hundreds of servers would be too much at a start.
     fn greet(&self, inst: &Instance, it: &Upstream) {
         inst.place(it);
-        let home = inst.peers().is_some() && it.is_reachable();
+        let home = inst.peers().is_some() && inst.is_configured(&self.name) && it.is_reachable();
         if home || self.is_used() {
             it.ask();
         }
@@ -187,7 +246,11 @@
     /// A server gave its account of itself in the answer to a question sent at `sent`.
     pub fn saw(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) {
         it.answered(now);
+        if it.has_forgotten(status, sent) {
+            self.note_loss(it, status, now);
+        }
         it.status.set(Some((sent, status)));
+        it.stated.set(now);
         if status.role == Role::Replica {
             let mut lag = it.lag.get();
             lag.stated(status.lag * 1_000, now);
@@ -196,7 +259,8 @@
         if status.term > self.term.get() {
             self.begin(status.term, now);
         }
-        let leads = status.role == Role::Primary && status.term == self.term.get();
+        it.recover(|recovery| recovery.heard(self.term.get()));
+        let leads = self.weigh(it, status, sent, now);
         match self.primary.get() {
             _ if leads => self.found_primary(it.index, now),
             Some(at) if at == it.index => self.lose_primary(now),
@@ -207,13 +271,88 @@
         }
         let led = self.leader.get() == Some((status.term, it.index));
         let receives = status.role == Role::Replica && status.paused.is_none() && !led;
-        if receives || self.is_alone() {
+        if (receives && self.counts(it, status.term)) || self.is_alone() {
             self.fresh.borrow_mut().confirm(it.index, status.term, sent);
             self.gate.borrow_mut().observe(it.index, status.term, status.received);
         }
         self.changed.notify_waiters();
     }
 
+    /// A server's log is shorter than it was in the same term, or than a replica's of its own: it holds nothing of before,
+    /// whatever the directory says.
+    fn note_loss(&self, it: &Upstream, status: Status, now: Micros) {
+        let id = it.entry().id.clone();
+        let (group, term) = (self.name.as_str(), status.term.0);
+        log::warn!(group, server = id.as_str(), term, position = status.received.lsn.0; "has lost its log");
+        self.forget(it, now);
+        it.recovery.set(Some(Recovery::new(now, micros(CHANGE_MOST))));
+    }
+
+    /// Whether a server is the primary of the newest term: by its own word, unless its log lacks what a replica has.
+    fn weigh(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) -> bool {
+        if status.term != self.term.get() {
+            return false;
+        }
+        let (leads, at) = (status.role == Role::Primary, status.received);
+        let mut claim = self.claim.get();
+        let before = claim.verdict();
+        match status.role {
+            Role::Primary => claim.shows(it.index, at.lsn, sent),
+            // What it received in earlier terms may have to be dropped.
+            Role::Replica if at.term == status.term => claim.received(at.lsn, now),
+            Role::Replica => {}
+        }
+        self.claim.set(claim);
+        for known in self.servers.borrow().iter() {
+            known.recover(|recovery| match status.role {
+                Role::Primary => recovery.led(at, sent),
+                Role::Replica => recovery.received(at),
+            });
+        }
+        match claim.verdict() {
+            Verdict::Holds => return leads,
+            Verdict::Open => self.ask_again(now),
+            Verdict::Lacks if before != Verdict::Lacks => self.note_loss(it, status, now),
+            Verdict::Lacks => {}
+        }
+        leads && claim.verdict() == Verdict::Open
+    }
+
+    /// Asks the primary again, as a replica has more than it showed.
+    fn ask_again(&self, now: Micros) {
+        if let Some(it) = self.primary() {
+            it.ask_after(now);
+        }
+    }
+
+    /// Whether nothing speaks against the primary.
+    fn is_clear(&self) -> bool {
+        self.claim.get().verdict() == Verdict::Holds
+    }
+
+    /// Whether a replica's word counts in a term.
+    pub fn counts(&self, it: &Upstream, term: Term) -> bool {
+        let Some(recovery) = it.recovery.get() else { return true };
+        let leads = |index| self.leader.get() == Some((term, index)) || self.primary.get() == Some(index);
+        let servers = self.servers();
+        let others = servers.iter().filter(|other| other.index != it.index && !leads(other.index));
+        let witness = |other: &Rc<Upstream>| {
+            let (asked, status) = other.status()?;
+            let receives = status.role == Role::Replica && status.paused.is_none();
+            Some(Witness { asked, term: status.term, receives })
+        };
+        recovery.counts(term, others.map(witness))
+    }
+
+    /// A replica that came back with nothing, where what was acknowledged with its word may be held by the primary alone.
+    pub fn hollow(&self) -> Option<Name> {
+        let servers = self.servers.borrow();
+        let led = self.leader.get().map(|it| servers[it.1].entry().id.clone());
+        let hollow = |it: &Upstream| !it.is_gone() && it.recovery.get().is_some_and(|it| !it.is_whole());
+        let it = servers.iter().find(|it| hollow(it) && Some(&it.entry().id) != led.as_ref())?;
+        Some(it.entry().id.clone())
+    }
+
     /// The primary showed a position after a statement sent at `sent`.
     pub fn moved(&self, it: &Upstream, at: Mark, sent: Micros) {
         if self.primary.get() == Some(it.index) {
@@ -233,6 +372,7 @@
         self.term.set(term);
         self.fresh.borrow_mut().begin(term);
         self.gate.borrow_mut().begin(term);
+        self.claim.take();
         self.lose_primary(now);
     }
 
@@ -268,7 +408,8 @@
         let servers = self.servers();
         let replicas = servers.iter().filter(|it| self.primary.get() != Some(it.index) || servers.len() == 1);
         let quiet = |it: &Upstream| {
-            it.silent.get().is_some() || it.status.get().is_some_and(|it| it.1.paused.is_some())
+            let paused = it.status.get().is_some_and(|it| it.1.paused.is_some());
+            it.silent.get().is_some() || paused || !self.counts(it, self.term.get())
         };
         let best =
             replicas.min_by_key(|it| (quiet(it), it.avoid.get() > now, self.offer(inst, it, now).cost()));
@@ -315,7 +456,7 @@
         loop {
             let changed = self.changed.notified();
             let now = inst.now();
-            let needed = self.fresh.borrow().needed(now.saturating_sub(age));
+            let needed = self.fresh.borrow().needed(now.saturating_sub(age)).filter(|_| self.is_clear());
             self.renew(inst, now, age, needed.is_some());
             if needed.is_some() {
                 return needed;
@@ -355,7 +496,7 @@
             if self.term.get() != term {
                 return false;
             }
-            if self.fresh.borrow().confirmed_at().is_some_and(|at| at >= since) {
+            if self.is_clear() && self.fresh.borrow().confirmed_at().is_some_and(|at| at >= since) {
                 return true;
             }
             if Instant::now() >= end {
@@ -384,10 +525,10 @@
                 (it.term(), it.durable())
             };
             match known == term && durable >= at {
-                true => return true,
-                false if known > term || Instant::now() >= end => return false,
-                false if answered => sleep(pause).await,
-                false => {}
+                true if self.is_clear() => return true,
+                _ if known > term || Instant::now() >= end => return false,
+                _ if answered => sleep(pause).await,
+                _ => {}
             }
             sent = inst.now().saturating_sub(micros(pause));
             pause = (pause * 2).min(GATE_PAUSE_MOST);
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -14,6 +14,7 @@
         ports::{Collection, Edge},
         settings::{Bounds, MOST_TENTHS, SHARED_TENTHS, SUBSTITUTE_CONNS, Settings},
         spread::Spread,
+        unreadable::Unreadable,
         upstream::Upstream,
     },
     pondtrack_core::{
@@ -105,6 +106,8 @@
     placement: Cell<u64>,
     /// The directory of servers, sorted by id; none until it was read.
     directory: RefCell<Option<Vec<Server>>>,
+    /// Objects of the store that can't be read.
+    pub unreadable: RefCell<Unreadable>,
     /// The store's revisions at which the configuration and the directory were last known to have changed.
     revisions: Cell<(Option<u64>, Option<u64>)>,
     /// How the configuration and the directory come here.
@@ -141,6 +144,7 @@
             peers: RefCell::default(),
             placement: Cell::new(1),
             directory: RefCell::default(),
+            unreadable: RefCell::default(),
             revisions: Cell::default(),
             spread: Spread::default(),
             history: History::default(),
@@ -231,6 +235,12 @@
         self.groups.borrow().clone()
     }
 
+    /// Whether the configuration names a group. An entry of another one names no server that anybody uses.
+    pub fn is_configured(&self, group: &str) -> bool {
+        let named = |it: &Desired| it.groups.binary_search_by(|it| it.name.as_str().cmp(group)).is_ok();
+        self.desired.borrow().as_ref().is_some_and(|it| named(it))
+    }
+
     /// Whether a group that is in use has no primary that answers here.
     pub fn lacks_primary(&self) -> bool {
         self.groups.borrow().iter().any(|it| it.lacks_primary())
@@ -251,13 +261,16 @@
         self.set_revision(Collection::Servers, revision);
         let old = self.directory.replace(Some(servers.clone())).unwrap_or_default();
         self.history.note_directory(&old, &servers, revision);
+        let now = self.now();
         for it in &servers {
-            let known = old.binary_search_by(|old| old.id.cmp(&it.id)).is_ok_and(|at| old[at] == *it);
-            if !known {
+            let before = old.binary_search_by(|old| old.id.cmp(&it.id)).ok().map(|at| &old[at]);
+            if let Some(before) = before.filter(|before| before.group != it.group) {
+                self.group_of(before).leave(&it.id, now);
+            }
+            if before != Some(it) {
                 self.group_of(it).enter(self, it.clone());
             }
         }
-        let now = self.now();
         for it in old.iter().filter(|old| servers.binary_search_by(|it| it.id.cmp(&old.id)).is_err()) {
             self.group_of(it).leave(&it.id, now);
         }
@@ -276,6 +289,14 @@
         })
     }
 
+    /// An object of the store can't be read: counted each time, told once.
+    pub fn note_unreadable(&self, what: Collection, name: &Name, why: &str) {
+        self.counters.one(Count::Unreadable);
+        if self.unreadable.borrow_mut().note(what, name) {
+            log::error!(collection:% = what, object = name.as_str(); "unreadable: {why}");
+        }
+    }
+
     /// The store's revision at which a collection was last known to have changed.
     pub fn revision(&self, what: Collection) -> Option<u64> {
         match what {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,6 +23,7 @@
 //! | [`session`], [`statement`], [`read`], [`write`](mod@write), [`txn`] | callers |
 //! | [`lease`], [`takeover`] | the right to give orders, and changes of primary |
 //! | [`leaders`] | the record of who led each group |
+//! | [`unreadable`] | objects of the store that can't be read |
 //! | [`count`], [`report`] | counters and histograms, and a line that shows them |
 
 pub mod ask;
@@ -54,5 +55,6 @@
 pub mod takeover;
 pub mod turnstile;
 pub mod txn;
+pub mod unreadable;
 pub mod upstream;
 pub mod write;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -7,13 +7,13 @@
 use {
     crate::{
         instance::Micros,
-        model::{Answer, Order, Status},
+        model::{Answer, Order, Server, Status},
         ports::Collection,
         session::Prepared,
     },
     bytes::{Bytes, BytesMut},
     pondtrack_core::turn::Rank,
-    pondtrack_proto::{Mark, Name},
+    pondtrack_proto::{Incarnation, Mark, Name},
     serde::{Deserialize, Serialize},
     std::net::SocketAddrV4,
 };
@@ -98,12 +98,27 @@
     /// To give a server an order that it answers with its account of itself.
     Order {
         /// The server.
-        server: Name,
+        server: ServerRun,
         /// The order.
         order: Order,
     },
 }
 
+/// A server in the run of its process that the sender knows: what another run shows would be counted for the wrong one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerRun {
+    /// The server's id.
+    pub id: Name,
+    /// The run.
+    pub incarnation: Incarnation,
+}
+
+impl From<&Server> for ServerRun {
+    fn from(it: &Server) -> ServerRun {
+        ServerRun { id: it.id.clone(), incarnation: it.incarnation }
+    }
+}
+
 /// A wish for a turn at a server.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TurnWish {
@@ -151,7 +166,7 @@
     /// Whether the stream's transaction is open already.
     pub pinned: bool,
     /// The server.
-    pub server: Name,
+    pub server: ServerRun,
     /// Its rank among those that wait; its aim counts from now, as clocks are not compared.
     pub rank: Option<Rank>,
     /// A statement that takes longer is slow, in microseconds.
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -9,7 +9,7 @@
         handout,
         instance::{Instance, Micros, accept_all, micros},
         link::{Halves, Reader, STREAM_SILENCE, halves},
-        message::{Ask, Message, Run, Sent, Told, TurnWish},
+        message::{Ask, Message, Run, Sent, ServerRun, Told, TurnWish},
         model::{Order, Status, TxnState},
         pool::Want,
         ports::{Forward, Text},
@@ -161,9 +161,13 @@
         let inst = &self.inst;
         let now = Instant::now();
         let end = now + Duration::from_millis(it.left_ms.into());
-        let Some((group, up)) = find(inst, &it.server) else {
+        let Some((group, up)) = find(inst, &it.server.id) else {
             return Told::NotSent("unknown server".to_owned());
         };
+        // An open transaction goes on over the connection that it began on.
+        if !it.pinned && up.entry().incarnation != it.server.incarnation {
+            return Told::NotSent("another run of the server is known here".to_owned());
+        }
         let rank = it.rank.map(|it| Rank { aim: it.aim + inst.now(), ..it });
         let mut channel = match (it.pinned, self.take_stream(it.stream)) {
             (true, Some(it)) => it,
@@ -255,10 +259,10 @@
     }
 }
 
-async fn order_server(inst: &Rc<Instance>, server: &Name, order: &Order) -> Told {
-    let Some((group, up)) = find(inst, server) else { return Told::Status(None) };
+async fn order_server(inst: &Rc<Instance>, server: &ServerRun, order: &Order) -> Told {
+    let Some((group, up)) = find(inst, &server.id) else { return Told::Status(None) };
     inst.place(&up);
-    if up.is_lost() {
+    if up.is_lost() || up.entry().incarnation != server.incarnation {
         return Told::Status(None);
     }
     let status = match order {
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -113,6 +113,9 @@
 /// A server whose entry has been missing for this long is taken as gone. The users' pages name about two
 /// seconds after an outage of the store.
 pub const GONE_AFTER: Duration = Duration::from_millis(2_500);
+/// How long a change of primary takes at most from its first order to stop a replica to its end: 400 ms for that order, 500 ms
+/// for the record of who led, and three orders to promote with 500 ms for the answer and 1,500 ms until the server leads.
+pub const CHANGE_MOST: Duration = Duration::from_millis(6_900);
 /// Named statements that a connection keeps before it is reset.
 pub const PREPARED_MOST: usize = 256;
 /// Named statements and values that a session may have.
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -88,7 +88,7 @@
             watched.clear();
             continue;
         }
-        for group in inst.groups() {
+        for group in inst.groups().into_iter().filter(|it| inst.is_configured(&it.name)) {
             let at = watched.binary_search_by(|it| it.group.name.cmp(&group.name)).unwrap_or_else(|at| {
                 watched.insert(at, Watched::new(group.clone(), inst.now()));
                 at
@@ -144,12 +144,14 @@
             return;
         };
         let servers = self.group.servers();
-        let replicas: Vec<_> = servers.iter().filter(|it| it.index != primary.index).collect();
+        let term = self.group.term();
+        let counts = |it: &&Rc<Upstream>| it.index != primary.index && self.group.counts(it, term);
+        let replicas: Vec<_> = servers.iter().filter(counts).collect();
         let reached = replicas.iter().filter_map(|it| it.status()).map(|it| it.1.received.lsn).max();
         let written = primary.status().map_or(Lsn::default(), |it| it.1.received.lsn);
         let reached = reached.unwrap_or_default();
         self.ahead = match self.ahead {
-            _ if replicas.is_empty() || written <= reached => None,
+            _ if servers.len() == 1 || written <= reached => None,
             Some(it) if reached < it.position => Some(it),
             _ => Some(Ahead { since: now, position: written }),
         };
@@ -271,11 +273,20 @@
         }
         let mut known: Vec<(Rc<Upstream>, Status)> =
             others.iter().zip(answers).filter_map(|(it, status)| Some((it.clone(), status?))).collect();
-        if known.iter().any(|it| it.1.role == Role::Primary && it.1.term >= self.term) {
-            return Err("a primary was found");
+        let mut leaders = known.iter().filter(|it| it.1.role == Role::Primary && it.1.term >= self.term);
+        match leaders.next().map(|it| it.0.clone()) {
+            Some(it) if self.group.lacks(&it) => {
+                // It has lost its log, and is replaced like one that is silent.
+                others.retain(|other| other.index != it.index);
+                old = Some(it);
+            }
+            Some(_) => return Err("a primary was found"),
+            None => {}
         }
         known.retain(|it| it.1.role == Role::Replica);
-        let has = |at: Lsn| known.iter().any(|it| it.1.received.lsn >= at);
+        self.spare_last_copy(&known)?;
+        let counts = |it: &Upstream| self.group.counts(it, self.term);
+        let has = |at: Lsn| known.iter().any(|it| it.1.received.lsn >= at && counts(&it.0));
         if self.begin.cause == Cause::Stalled && self.begin.ahead.is_some_and(has) {
             // Replicas that gave no answer before may have received it all the while.
             return Err("a replica has received what the primary wrote");
@@ -298,6 +309,22 @@
         led.map(|()| target.entry().id.clone())
     }
 
+    /// Fails where only the lost primary may hold what was acknowledged: a replica came back with nothing in this term, and
+    /// none had caught up with the primary since. The primary comes back with its log, or its entry goes; then what is
+    /// left has to do.
+    fn spare_last_copy(&self, replicas: &[(Rc<Upstream>, Status)]) -> Result<(), Failed> {
+        let lost = matches!(self.begin.cause, Cause::Silent | Cause::Refused | Cause::Absent);
+        let Some(hollow) = self.group.hollow().filter(|_| lost) else { return Ok(()) };
+        let heard = |it: &Upstream| replicas.iter().any(|known| known.0.index == it.index);
+        if self.group.led_by().is_some_and(|it| !heard(&it)) {
+            return Err("a replica came back with nothing, and only the primary may hold what it had");
+        }
+        self.inst.counters.one(Count::Losses);
+        let (group, term) = (self.group.name.as_str(), self.term.0);
+        log::error!(group, server = hollow.as_str(), term; "acknowledged writes may be lost: the server came back with nothing, and the primary is gone");
+        Ok(())
+    }
+
     /// Servers beside the primary; those that leave only if there are no others.
     fn others(&self, old: Option<&Upstream>) -> Vec<Rc<Upstream>> {
         let mut others = self.group.servers();
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -15,7 +15,10 @@
         },
         turnstile::Turnstile,
     },
-    pondtrack_core::balance::{Average, Lag, Pace},
+    pondtrack_core::{
+        balance::{Average, Lag, Pace},
+        recovery::Recovery,
+    },
     pondtrack_proto::Name,
     std::{
         cell::{Cell, RefCell},
@@ -67,6 +70,10 @@
     pub(crate) base: Cell<Average>,
     pub(crate) entry: RefCell<Rc<Server>>,
     pub(crate) status: Cell<Option<(Micros, Status)>>,
+    /// When that came.
+    pub(crate) stated: Cell<Micros>,
+    /// What it counts for after it came back with nothing.
+    pub(crate) recovery: Cell<Option<Recovery>>,
     pub(crate) pace: Cell<Pace>,
     pub(crate) lag: Cell<Lag>,
     pub(crate) heard: Cell<Micros>,
@@ -91,6 +98,8 @@
     pub(crate) draining: Cell<Option<Micros>>,
     pub(crate) missing: Cell<Option<Micros>>,
     pub(crate) gone: Cell<bool>,
+    /// Whether a later run of its process is known: this one never comes back.
+    pub(crate) succeeded: Cell<bool>,
     /// Whether its account of itself was ever wanted.
     pub(crate) wanted: Cell<bool>,
     /// When it was last asked.
@@ -116,6 +125,8 @@
             base: Cell::default(),
             entry: RefCell::new(Rc::new(server)),
             status: Cell::default(),
+            stated: Cell::default(),
+            recovery: Cell::default(),
             pace: Cell::default(),
             lag: Cell::default(),
             heard: Cell::new(now),
@@ -132,6 +143,7 @@
             draining: Cell::new(draining),
             missing: Cell::default(),
             gone: Cell::default(),
+            succeeded: Cell::default(),
             wanted: Cell::default(),
             asked: Cell::default(),
             sent: Cell::default(),
@@ -149,6 +161,21 @@
         self.status.get()
     }
 
+    /// Whether an answer to a question sent at `sent` shows a shorter log than one that had come before, in the same term.
+    pub(crate) fn has_forgotten(&self, status: Status, sent: Micros) -> bool {
+        let Some((_, old)) = self.status.get() else { return false };
+        let later = sent >= self.stated.get();
+        later && status.term == old.term && status.received.lsn < old.received.lsn
+    }
+
+    /// Notes something about its recovery, if it came back with nothing.
+    pub(crate) fn recover(&self, note: impl FnOnce(&mut Recovery)) {
+        if let Some(mut it) = self.recovery.get() {
+            note(&mut it);
+            self.recovery.set(Some(it));
+        }
+    }
+
     /// When it last answered anything.
     pub fn heard(&self) -> Micros {
         self.heard.get()
@@ -395,7 +422,7 @@
         for _ in 0..RELAYS {
             let peer = self.fit_peer(inst)?;
             if let Some(link) = peer.link(inst).await {
-                let server = self.entry().id.clone();
+                let server = self.entry().as_ref().into();
                 return Some(Relayed::new(peer.name.clone(), link, server, until));
             }
         }
