Soak: servers start again under their ids, with and without their logs, and entries are damaged while they are read

A replica loses its log only where the others hold all of it: two of three that forget at once are not covered.

--- a/crates/pondtrackd/tests/soak.rs
+++ b/crates/pondtrackd/tests/soak.rs
@@ -11,6 +11,9 @@
 #[path = "soak/growth.rs"]
 mod growth;
 
+#[path = "soak/forget.rs"]
+mod forget;
+
 use {
     growth::Growth,
     pondtrack_engine::ports::{Collection, Record},
@@ -128,6 +131,7 @@
     let entries = tokio::task::spawn_local(keep_entries(world.clone()));
     let end = Instant::now() + FAULTS;
     let later = tokio::task::spawn_local(later_faults(world.clone(), end));
+    let forgetting = tokio::task::spawn_local(forget::faults(world.clone(), end));
     let changing = world.clone();
     let changes = tokio::task::spawn_local(async move { growth::change(&changing, end).await });
     let watching = world.clone();
@@ -137,6 +141,7 @@
         tokio::task::spawn_local(fault(world.clone()));
     }
     later.await.expect("faults don't fail");
+    forgetting.await.expect("faults don't fail");
     changes.await.expect("changes don't fail");
     watches.await.expect("no configuration reverts");
     // The last faults heal by themselves.
