--- a/crates/edge/src/contract.rs
+++ b/crates/edge/src/contract.rs
@@ -16,6 +16,9 @@
 //! The log of each term, the first one's too, begins with an entry of that term; until a majority has it,
 //! nothing is answered.
 //!
+//! A server that has lost its log, or the terms that it knew, comes back under another name: a majority that counts it
+//! once before and once after is none, and the exhaustive walk loses an acknowledged write with it.
+//!
 //! A fence, and following another server, end every connection that has run anything but the above, as the
 //! restart does that a demotion takes. A write that the network held back can therefore not run in a later
 //! term of the same server: the scenario `late-write` doubled one before this was asked for.
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -1,29 +1,22 @@
 //! A group's servers, and what is known about them.
 //!
+//! Here is what callers wait for: a server that holds a position, a confirmed term, a commit that a replica has. Which servers
+//! there are is in `group/listing.rs`, what they show of themselves in `group/evidence.rs`.
+//!
 //! Evidence is what a server showed in the answer to a question, as of the question's sending. A replica
 //! that receives in a term confirms that the term's primary had not been replaced at that time: whoever
 //! replaces it first stops all other replicas from receiving (see [`crate::takeover`]).
 
 use {
     crate::{
-        ask::ask_forever,
-        count::Count,
         instance::{Instance, Micros, micros},
-        model::{Role, Server, Status},
         settings::{
-            ASK_OTHERS, CHANGE_MOST, EVIDENCE_PERCENT, GATE_PAUSE, GATE_PAUSE_MOST, GONE_AFTER, LAG_FACTOR,
-            ORDER_LIMIT, PRIMARY_PAUSE,
+            ASK_OTHERS, EVIDENCE_PERCENT, GATE_PAUSE, GATE_PAUSE_MOST, GONE_AFTER, LAG_FACTOR, ORDER_LIMIT,
+            PRIMARY_PAUSE,
         },
         upstream::Upstream,
     },
-    pondtrack_core::{
-        balance::Offer,
-        claim::{Claim, Verdict},
-        fresh::Freshness,
-        gate::Gate,
-        leader::Leader,
-        recovery::{Recovery, Witness},
-    },
+    pondtrack_core::{balance::Offer, claim::Claim, fresh::Freshness, gate::Gate, leader::Leader},
     pondtrack_proto::{Lsn, Mark, Name, Term},
     std::{
         cell::{Cell, RefCell},
@@ -36,6 +29,9 @@
     },
 };
 
+mod evidence;
+mod listing;
+
 /// Replicas that have to confirm a term, or hold a commit.
 const REPLICAS: usize = 1;
 
@@ -109,139 +105,11 @@
         Some(Leader { term, server: Some(server) })
     }
 
-    /// The server that was last seen to lead, if it did so in the newest term and is still listed.
-    pub fn led_by(&self) -> Option<Rc<Upstream>> {
-        let (term, at) = self.leader.get()?;
-        let it = self.servers.borrow()[at].clone();
-        (term == self.term.get() && !it.is_gone()).then_some(it)
-    }
-
-    /// How often a server started again or lost its log, as far as is known here.
-    pub fn losses(&self) -> u64 {
-        self.losses.get()
-    }
-
-    /// Whether a server calls itself the primary of the newest term and has lost its log.
-    pub fn lacks(&self, it: &Upstream) -> bool {
-        let claim = self.claim.get();
-        claim.claimant() == Some(it.index) && claim.verdict() == Verdict::Lacks
-    }
-
     /// Since when no primary is known.
     pub fn absent(&self) -> Option<Micros> {
         self.absent.get()
     }
 
-    /// Takes a server's entry in; a new server, and a new run of a known one, gets a task that asks it.
-    pub fn enter(self: &Rc<Self>, inst: &Rc<Instance>, server: Server) {
-        let Some(it) = self.present(&server.id) else { return self.add(inst, server, None) };
-        if it.entry().incarnation != server.incarnation {
-            return self.succeed(inst, &it, server);
-        }
-        let hint = server.role == Some(Role::Primary) && it.entry().role != server.role;
-        it.missing.set(None);
-        if it.gone.replace(false) {
-            // Its task has ended.
-            tokio::task::spawn_local(ask_forever(inst.clone(), self.clone(), it.clone()));
-        }
-        it.draining.set(server.draining.then(|| it.draining.get().unwrap_or(inst.now())));
-        *it.entry.borrow_mut() = Rc::new(server);
-        if hint && self.is_used() {
-            it.ask();
-        }
-        self.changed.notify_waiters();
-    }
-
-    /// The present run of a server, as far as it is known here.
-    fn present(&self, id: &Name) -> Option<Rc<Upstream>> {
-        let servers = self.servers.borrow();
-        servers.iter().find(|it| !it.succeeded.get() && it.entry().id == *id).cloned()
-    }
-
-    /// A server has started again. Nothing of what its earlier run showed counts, nor will it if an entry of that run
-    /// comes once more.
-    fn succeed(self: &Rc<Self>, inst: &Rc<Instance>, old: &Rc<Upstream>, server: Server) {
-        let now = inst.now();
-        let (id, run, before) = (server.id.as_str(), server.incarnation, old.entry().incarnation);
-        log::info!(group = self.name.as_str(), server = id, run:% = run, before:% = before; "started again");
-        inst.counters.one(Count::Restarts);
-        old.succeeded.set(true);
-        old.gone.set(true);
-        old.pool.trim(Instant::now(), true);
-        self.forget(old, now);
-        // Its task ends.
-        old.ask();
-        self.add(inst, server, Some(Recovery::new(now, micros(CHANGE_MOST))));
-        self.changed.notify_waiters();
-    }
-
-    /// What a server showed no longer counts.
-    fn forget(&self, it: &Upstream, now: Micros) {
-        self.losses.set(self.losses.get() + 1);
-        self.fresh.borrow_mut().forget(it.index);
-        self.gate.borrow_mut().forget_server(it.index);
-        if self.primary.get() == Some(it.index) {
-            self.fresh.borrow_mut().forget_primary();
-            self.lose_primary(now);
-        }
-    }
-
-    /// A server's entry was removed; it counts as gone if it stays away.
-    pub fn leave(&self, id: &Name, now: Micros) {
-        if let Some(it) = self.present(id) {
-            it.missing.set(it.missing.get().or(Some(now)));
-            // Whether it still answers shows whether it has left.
-            if self.is_used() {
-                it.ask();
-            }
-        }
-    }
-
-    /// Servers whose entries have been missing since before `limit` are gone, and those that had said that they
-    /// leave and don't answer any longer. Hands their ids back.
-    pub fn expire(&self, limit: Micros) -> Vec<Name> {
-        let mut gone = Vec::new();
-        for it in self.servers().iter().filter(|it| it.is_missed(limit)) {
-            it.gone.set(true);
-            it.pool.trim(Instant::now(), true);
-            if self.primary.get() == Some(it.index) {
-                self.lose_primary(limit);
-            }
-            // Its task ends.
-            it.ask();
-            gone.push(it.entry().id.clone());
-        }
-        gone
-    }
-
-    fn add(self: &Rc<Self>, inst: &Rc<Instance>, server: Server, recovery: Option<Recovery>) {
-        let index = self.servers.borrow().len();
-        let it = Rc::new(Upstream::new(index, server, inst.clock));
-        it.recovery.set(recovery);
-        self.servers.borrow_mut().push(it.clone());
-        self.fresh.borrow_mut().grow(index + 1);
-        self.gate.borrow_mut().grow(index + 1);
-        self.greet(inst, &it);
-        tokio::task::spawn_local(ask_forever(inst.clone(), self.clone(), it));
-    }
-
-    /// Asks a server that is new here, if this instance is one of its homes. Others ask once they have callers for
-    /// it: each of hundreds of instances asking each of hundreds of servers would be too much at a start.
-    fn greet(&self, inst: &Instance, it: &Upstream) {
-        inst.place(it);
-        let home = inst.peers().is_some() && inst.is_configured(&self.name) && it.is_reachable();
-        if home || self.is_used() {
-            it.ask();
-        }
-    }
-
-    /// The same for all its servers, once it is known which other instances there are.
-    pub fn greet_all(&self, inst: &Instance) {
-        for it in self.servers() {
-            self.greet(inst, &it);
-        }
-    }
-
     /// Whether the account of any of its servers was ever wanted here.
     pub fn is_used(&self) -> bool {
         self.servers.borrow().iter().any(|it| it.wanted.get())
@@ -252,158 +120,6 @@
         self.is_used() && self.primary().is_none_or(|it| it.silent().is_some())
     }
 
-    /// A server gave its account of itself in the answer to a question sent at `sent`.
-    pub fn saw(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) {
-        it.answered(now);
-        if it.has_forgotten(status, sent) {
-            self.note_loss(it, status, now);
-        }
-        it.status.set(Some((sent, status)));
-        it.stated.set(now);
-        if status.role == Role::Replica {
-            let mut lag = it.lag.get();
-            lag.stated(status.lag * 1_000, now);
-            it.lag.set(lag);
-        }
-        if status.term > self.term.get() {
-            self.begin(status.term, now);
-        }
-        it.recover(|recovery| recovery.heard(self.term.get()));
-        let leads = self.weigh(it, status, sent, now);
-        match self.primary.get() {
-            _ if leads => self.found_primary(it.index, now),
-            Some(at) if at == it.index => self.lose_primary(now),
-            _ => {}
-        }
-        if leads {
-            self.fresh.borrow_mut().observe(status.term, status.received, sent);
-        }
-        let led = self.leader.get() == Some((status.term, it.index));
-        let receives = status.role == Role::Replica && status.paused.is_none() && !led;
-        if (receives && self.counts(it, status.term)) || self.is_alone() {
-            self.fresh.borrow_mut().confirm(it.index, status.term, sent);
-            self.gate.borrow_mut().observe(it.index, status.term, status.received);
-        }
-        self.changed.notify_waiters();
-    }
-
-    /// A server's log is shorter than it was in the same term, or than a replica's of its own: it holds nothing of before,
-    /// whatever the directory says.
-    fn note_loss(&self, it: &Upstream, status: Status, now: Micros) {
-        let id = it.entry().id.clone();
-        let (group, term) = (self.name.as_str(), status.term.0);
-        log::warn!(group, server = id.as_str(), term, position = status.received.lsn.0; "has lost its log");
-        self.forget(it, now);
-        it.recovery.set(Some(Recovery::new(now, micros(CHANGE_MOST))));
-    }
-
-    /// Whether a server is the primary of the newest term: by its own word, unless its log lacks what a replica has.
-    fn weigh(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) -> bool {
-        if status.term != self.term.get() {
-            return false;
-        }
-        let (leads, at) = (status.role == Role::Primary, status.received);
-        let mut claim = self.claim.get();
-        let before = claim.verdict();
-        match status.role {
-            Role::Primary => claim.shows(it.index, at.lsn, sent),
-            // What it received in earlier terms may have to be dropped.
-            Role::Replica if at.term == status.term => claim.received(at.lsn, now),
-            Role::Replica => {}
-        }
-        self.claim.set(claim);
-        for known in self.servers.borrow().iter() {
-            known.recover(|recovery| match status.role {
-                Role::Primary => recovery.led(at, sent),
-                Role::Replica => recovery.received(at),
-            });
-        }
-        match claim.verdict() {
-            Verdict::Holds => return leads,
-            Verdict::Open => self.ask_again(now),
-            Verdict::Lacks if before != Verdict::Lacks => self.note_loss(it, status, now),
-            Verdict::Lacks => {}
-        }
-        leads && claim.verdict() == Verdict::Open
-    }
-
-    /// Asks the primary again, as a replica has more than it showed.
-    fn ask_again(&self, now: Micros) {
-        if let Some(it) = self.primary() {
-            it.ask_after(now);
-        }
-    }
-
-    /// Whether nothing speaks against the primary.
-    fn is_clear(&self) -> bool {
-        self.claim.get().verdict() == Verdict::Holds
-    }
-
-    /// Whether a replica's word counts in a term.
-    pub fn counts(&self, it: &Upstream, term: Term) -> bool {
-        let Some(recovery) = it.recovery.get() else { return true };
-        let leads = |index| self.leader.get() == Some((term, index)) || self.primary.get() == Some(index);
-        let servers = self.servers();
-        let others = servers.iter().filter(|other| other.index != it.index && !leads(other.index));
-        let witness = |other: &Rc<Upstream>| {
-            let (asked, status) = other.status()?;
-            let receives = status.role == Role::Replica && status.paused.is_none();
-            Some(Witness { asked, term: status.term, receives })
-        };
-        recovery.counts(term, others.map(witness))
-    }
-
-    /// A replica that came back with nothing, where what was acknowledged with its word may be held by the primary alone.
-    pub fn hollow(&self) -> Option<Name> {
-        let servers = self.servers.borrow();
-        let led = self.leader.get().map(|it| servers[it.1].entry().id.clone());
-        let hollow = |it: &Upstream| !it.is_gone() && it.recovery.get().is_some_and(|it| !it.is_whole());
-        let it = servers.iter().find(|it| hollow(it) && Some(&it.entry().id) != led.as_ref())?;
-        Some(it.entry().id.clone())
-    }
-
-    /// The primary showed a position after a statement sent at `sent`.
-    pub fn moved(&self, it: &Upstream, at: Mark, sent: Micros) {
-        if self.primary.get() == Some(it.index) {
-            self.fresh.borrow_mut().observe(self.term.get(), at, sent);
-        }
-    }
-
-    /// A server says that it isn't the primary.
-    pub fn denied(&self, it: &Upstream, now: Micros) {
-        if self.primary.get() == Some(it.index) {
-            self.lose_primary(now);
-            self.ask_all(now);
-        }
-    }
-
-    fn begin(&self, term: Term, now: Micros) {
-        self.term.set(term);
-        self.fresh.borrow_mut().begin(term);
-        self.gate.borrow_mut().begin(term);
-        self.claim.take();
-        self.lose_primary(now);
-    }
-
-    fn found_primary(&self, index: usize, now: Micros) {
-        self.leader.set(Some((self.term.get(), index)));
-        if self.primary.replace(Some(index)) == Some(index) {
-            return;
-        }
-        let gap = self.absent.take().map_or(0, |at| now.saturating_sub(at));
-        let id = self.servers.borrow()[index].entry().id.clone();
-        log::info!(group = self.name.as_str(), server = id.as_str(), term = self.term.get().0, absent_ms = gap / 1_000; "primary found");
-    }
-
-    fn lose_primary(&self, now: Micros) {
-        self.primary.set(None);
-        self.absent.set(self.absent.get().or(Some(now)));
-    }
-
-    fn is_alone(&self) -> bool {
-        self.servers.borrow().iter().filter(|it| !it.is_gone()).count() == 1
-    }
-
     /// Asks every server for its account of itself that wasn't asked at `since` or later.
     pub fn ask_all(&self, since: Micros) {
         for it in self.servers() {
--- /dev/null
+++ b/crates/engine/src/group/evidence.rs
@@ -0,0 +1,200 @@
+//! What servers show of themselves, and what it counts for.
+
+use {
+    super::Group,
+    crate::{
+        instance::{Micros, micros},
+        model::{Role, Status},
+        settings::CHANGE_MOST,
+        upstream::Upstream,
+    },
+    pondtrack_core::{
+        claim::Verdict,
+        recovery::{Recovery, Witness},
+    },
+    pondtrack_proto::{Mark, Name, Term},
+    std::rc::Rc,
+};
+
+impl Group {
+    /// The server that was last seen to lead, if it did so in the newest term and is still listed.
+    pub fn led_by(&self) -> Option<Rc<Upstream>> {
+        let (term, at) = self.leader.get()?;
+        let it = self.servers.borrow()[at].clone();
+        (term == self.term.get() && !it.is_gone()).then_some(it)
+    }
+
+    /// How often a server started again or lost its log, as far as is known here.
+    pub fn losses(&self) -> u64 {
+        self.losses.get()
+    }
+
+    /// Whether a server calls itself the primary of the newest term and has lost its log.
+    pub fn lacks(&self, it: &Upstream) -> bool {
+        let claim = self.claim.get();
+        claim.claimant() == Some(it.index) && claim.verdict() == Verdict::Lacks
+    }
+
+    /// What a server showed no longer counts.
+    pub(super) fn forget(&self, it: &Upstream, now: Micros) {
+        self.losses.set(self.losses.get() + 1);
+        self.fresh.borrow_mut().forget(it.index);
+        self.gate.borrow_mut().forget_server(it.index);
+        if self.primary.get() == Some(it.index) {
+            self.fresh.borrow_mut().forget_primary();
+            self.lose_primary(now);
+        }
+    }
+
+    /// A server gave its account of itself in the answer to a question sent at `sent`.
+    pub fn saw(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) {
+        it.answered(now);
+        if it.has_forgotten(status, sent) {
+            self.note_loss(it, status, now);
+        }
+        it.status.set(Some((sent, status)));
+        it.stated.set(now);
+        if status.role == Role::Replica {
+            let mut lag = it.lag.get();
+            lag.stated(status.lag * 1_000, now);
+            it.lag.set(lag);
+        }
+        if status.term > self.term.get() {
+            self.begin(status.term, now);
+        }
+        it.recover(|recovery| recovery.heard(self.term.get()));
+        let leads = self.weigh(it, status, sent, now);
+        match self.primary.get() {
+            _ if leads => self.found_primary(it.index, now),
+            Some(at) if at == it.index => self.lose_primary(now),
+            _ => {}
+        }
+        if leads {
+            self.fresh.borrow_mut().observe(status.term, status.received, sent);
+        }
+        let led = self.leader.get() == Some((status.term, it.index));
+        let receives = status.role == Role::Replica && status.paused.is_none() && !led;
+        if (receives && self.counts(it, status.term)) || self.is_alone() {
+            self.fresh.borrow_mut().confirm(it.index, status.term, sent);
+            self.gate.borrow_mut().observe(it.index, status.term, status.received);
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// A server's log is shorter than it was in the same term, or than a replica's of its own: it holds nothing of before,
+    /// whatever the directory says.
+    pub(super) fn note_loss(&self, it: &Upstream, status: Status, now: Micros) {
+        let id = it.entry().id.clone();
+        let (group, term) = (self.name.as_str(), status.term.0);
+        log::warn!(group, server = id.as_str(), term, position = status.received.lsn.0; "has lost its log");
+        self.forget(it, now);
+        it.recovery.set(Some(Recovery::new(now, micros(CHANGE_MOST))));
+    }
+
+    /// Whether a server is the primary of the newest term: by its own word, unless its log lacks what a replica has.
+    pub(super) fn weigh(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) -> bool {
+        if status.term != self.term.get() {
+            return false;
+        }
+        let (leads, at) = (status.role == Role::Primary, status.received);
+        let mut claim = self.claim.get();
+        let before = claim.verdict();
+        match status.role {
+            Role::Primary => claim.shows(it.index, at.lsn, sent),
+            // What it received in earlier terms may have to be dropped.
+            Role::Replica if at.term == status.term => claim.received(at.lsn, now),
+            Role::Replica => {}
+        }
+        self.claim.set(claim);
+        for known in self.servers.borrow().iter() {
+            known.recover(|recovery| match status.role {
+                Role::Primary => recovery.led(at, sent),
+                Role::Replica => recovery.received(at),
+            });
+        }
+        match claim.verdict() {
+            Verdict::Holds => return leads,
+            Verdict::Open => self.ask_again(now),
+            Verdict::Lacks if before != Verdict::Lacks => self.note_loss(it, status, now),
+            Verdict::Lacks => {}
+        }
+        leads && claim.verdict() == Verdict::Open
+    }
+
+    /// Asks the primary again, as a replica has more than it showed.
+    pub(super) fn ask_again(&self, now: Micros) {
+        if let Some(it) = self.primary() {
+            it.ask_after(now);
+        }
+    }
+
+    /// Whether nothing speaks against the primary.
+    pub(super) fn is_clear(&self) -> bool {
+        self.claim.get().verdict() == Verdict::Holds
+    }
+
+    /// Whether a replica's word counts in a term.
+    pub fn counts(&self, it: &Upstream, term: Term) -> bool {
+        let Some(recovery) = it.recovery.get() else { return true };
+        let leads = |index| self.leader.get() == Some((term, index)) || self.primary.get() == Some(index);
+        let servers = self.servers();
+        let others = servers.iter().filter(|other| other.index != it.index && !leads(other.index));
+        let witness = |other: &Rc<Upstream>| {
+            let (asked, status) = other.status()?;
+            let receives = status.role == Role::Replica && status.paused.is_none();
+            Some(Witness { asked, term: status.term, receives })
+        };
+        recovery.counts(term, others.map(witness))
+    }
+
+    /// A replica that came back with nothing, where what was acknowledged with its word may be held by the primary alone.
+    pub fn hollow(&self) -> Option<Name> {
+        let servers = self.servers.borrow();
+        let led = self.leader.get().map(|it| servers[it.1].entry().id.clone());
+        let hollow = |it: &Upstream| !it.is_gone() && it.recovery.get().is_some_and(|it| !it.is_whole());
+        let it = servers.iter().find(|it| hollow(it) && Some(&it.entry().id) != led.as_ref())?;
+        Some(it.entry().id.clone())
+    }
+
+    /// The primary showed a position after a statement sent at `sent`.
+    pub fn moved(&self, it: &Upstream, at: Mark, sent: Micros) {
+        if self.primary.get() == Some(it.index) {
+            self.fresh.borrow_mut().observe(self.term.get(), at, sent);
+        }
+    }
+
+    /// A server says that it isn't the primary.
+    pub fn denied(&self, it: &Upstream, now: Micros) {
+        if self.primary.get() == Some(it.index) {
+            self.lose_primary(now);
+            self.ask_all(now);
+        }
+    }
+
+    pub(super) fn begin(&self, term: Term, now: Micros) {
+        self.term.set(term);
+        self.fresh.borrow_mut().begin(term);
+        self.gate.borrow_mut().begin(term);
+        self.claim.take();
+        self.lose_primary(now);
+    }
+
+    pub(super) fn found_primary(&self, index: usize, now: Micros) {
+        self.leader.set(Some((self.term.get(), index)));
+        if self.primary.replace(Some(index)) == Some(index) {
+            return;
+        }
+        let gap = self.absent.take().map_or(0, |at| now.saturating_sub(at));
+        let id = self.servers.borrow()[index].entry().id.clone();
+        log::info!(group = self.name.as_str(), server = id.as_str(), term = self.term.get().0, absent_ms = gap / 1_000; "primary found");
+    }
+
+    pub(super) fn lose_primary(&self, now: Micros) {
+        self.primary.set(None);
+        self.absent.set(self.absent.get().or(Some(now)));
+    }
+
+    pub(super) fn is_alone(&self) -> bool {
+        self.servers.borrow().iter().filter(|it| !it.is_gone()).count() == 1
+    }
+}
--- a/crates/testbed/src/model.rs
+++ b/crates/testbed/src/model.rs
@@ -39,6 +39,8 @@
     pub fence: usize,
     /// Whether homes also act on positions that are out of date.
     pub stale: bool,
+    /// Servers that come back under their names with no log and no term, which [`pondtrack_edge::contract`] excludes.
+    pub forgets: u8,
     /// Most states; a walk that meets more is not exhaustive, and says so.
     pub states: usize,
 }
@@ -52,6 +54,7 @@
             gate: MAJORITY,
             fence: MAJORITY,
             stale: false,
+            forgets: 0,
             states: 8_000_000,
         }
     }
@@ -87,6 +90,8 @@
     answers: Vec<(usize, usize, Term, Mark)>,
     /// Every term's primary, ever.
     primaries: Vec<(Term, usize)>,
+    /// Servers that forgot.
+    forgot: u8,
 }
 
 /// What a walk found.
@@ -148,7 +153,14 @@
         }
         homes.push(Home { gate, grants, switch: None, begun: 0, writes: Vec::new(), seen: None });
     }
-    State { servers, homes, orders: Vec::new(), answers: Vec::new(), primaries: vec![(Term(1), 0)] }
+    State {
+        servers,
+        homes,
+        orders: Vec::new(),
+        answers: Vec::new(),
+        primaries: vec![(Term(1), 0)],
+        forgot: 0,
+    }
 }
 
 fn successors(state: &State, bounds: Bounds) -> Vec<State> {
@@ -162,6 +174,7 @@
     deliver(state, &mut out);
     replicate(state, &mut out);
     rejoin(state, &mut out);
+    forget(state, bounds, &mut out);
     out
 }
 
@@ -353,6 +366,19 @@
     }
 }
 
+/// A server comes back with nothing, as a replica.
+fn forget(state: &State, bounds: Bounds, out: &mut Vec<State>) {
+    if state.forgot >= bounds.forgets {
+        return;
+    }
+    for server in 0..SERVERS {
+        let mut next = state.clone();
+        next.forgot += 1;
+        next.servers[server] = Contract { role: Role::Replica, term: Term(0), log: Vec::new(), dropped: 0 };
+        out.push(next);
+    }
+}
+
 /// What must never be: two primaries of one term, or an acknowledged write that a later primary lacks.
 fn violation(state: &State) -> Option<String> {
     for (n, (term, server)) in state.primaries.iter().enumerate() {
--- a/crates/testbed/tests/model.rs
+++ b/crates/testbed/tests/model.rs
@@ -20,3 +20,11 @@
     let it = walk(bounds);
     assert!(it.violation.is_some(), "{} states without a violation", it.states);
 }
+
+#[test]
+fn a_server_that_forgets_under_its_name_loses_what_was_acknowledged() {
+    // Why the contract asks for another name.
+    let it = walk(Bounds { forgets: 1, ..Bounds::small() });
+    println!("{} states: {:?}", it.states, it.violation);
+    assert!(it.violation.is_some(), "{} states without a violation", it.states);
+}
