Feed: who may take the lease asks the servers of a group whose replica came back, until one has caught up

Cause: an instance that takes the lease didn't know that a replica had caught up long before, as only the holder asks. Ruled out: a time after which a replica counts as caught up, as nothing shows that it has. Change: candidates for the lease ask each half second while that isn't known, two questions a server as a rule.

--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -4,6 +4,7 @@
     crate::{
         count::Count,
         instance::{Instance, micros},
+        lease::is_candidate,
         model::Server,
         peer::Peer,
         ports::{Collection, InstanceRecord, Object, Objects, Record, StoreError},
@@ -132,6 +133,10 @@
             for id in group.expire(limit) {
                 log::info!(group = group.name.as_str(), server = id.as_str(); "server gone");
             }
+            // Who comes to change its primary has to know by then whether a replica that came back has caught up.
+            if group.hollow().is_some() && is_candidate(&inst) {
+                group.ask_all(inst.now().saturating_sub(micros(SWEEP)));
+            }
             for it in group.servers().into_iter().filter(|it| it.pool.is_open()) {
                 // What this instance may keep shrinks as others come.
                 inst.place(&it);
--- a/crates/engine/src/lease.rs
+++ b/crates/engine/src/lease.rs
@@ -100,6 +100,13 @@
     it.release().await;
 }
 
+/// Whether an instance may come to hold the right: in a large fleet those who watch the store for all are enough to find it
+/// free.
+pub fn is_candidate(inst: &Instance) -> bool {
+    let others = inst.peers().map_or(0, |it| it.len());
+    others < ALL_LOOK || inst.spread.must_watch(inst)
+}
+
 impl Keeper {
     async fn step(&mut self) -> Duration {
         if self.is_mine() {
