--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -134,7 +134,7 @@
                 log::info!(group = group.name.as_str(), server = id.as_str(); "server gone");
             }
             // Who comes to change its primary has to know by then whether a replica that came back has caught up.
-            if group.hollow().is_some() && is_candidate(&inst) {
+            if group.unrecovered().is_some() && is_candidate(&inst) {
                 group.ask_all(inst.now().saturating_sub(micros(SWEEP)));
             }
             for it in group.servers().into_iter().filter(|it| it.pool.is_open()) {
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -52,7 +52,7 @@
     /// Whether the term's primary holds what its replicas have.
     claim: Cell<Claim>,
     /// How often a server started again or lost its log.
-    losses: Cell<u64>,
+    forgotten: Cell<u64>,
     fresh: RefCell<Freshness>,
     gate: RefCell<Gate>,
 }
@@ -70,7 +70,7 @@
             leader: Cell::default(),
             absent: Cell::default(),
             claim: Cell::default(),
-            losses: Cell::default(),
+            forgotten: Cell::default(),
             fresh: RefCell::new(Freshness::new(0, REPLICAS)),
             gate: RefCell::new(Gate::new(0, REPLICAS)),
         }
--- a/crates/engine/src/group/evidence.rs
+++ b/crates/engine/src/group/evidence.rs
@@ -25,8 +25,8 @@
     }
 
     /// How often a server started again or lost its log, as far as is known here.
-    pub fn losses(&self) -> u64 {
-        self.losses.get()
+    pub fn forgotten(&self) -> u64 {
+        self.forgotten.get()
     }
 
     /// Whether a server calls itself the primary of the newest term and has lost its log.
@@ -37,7 +37,7 @@
 
     /// What a server showed no longer counts.
     pub(super) fn forget(&self, it: &Upstream, now: Micros) {
-        self.losses.set(self.losses.get() + 1);
+        self.forgotten.set(self.forgotten.get() + 1);
         self.fresh.borrow_mut().forget(it.index);
         self.gate.borrow_mut().forget_server(it.index);
         if self.primary.get() == Some(it.index) {
@@ -63,7 +63,7 @@
             self.begin(status.term, now);
         }
         it.recover(|recovery| recovery.heard(self.term.get()));
-        let leads = self.weigh(it, status, sent, now);
+        let leads = self.judge_claim(it, status, sent, now);
         match self.primary.get() {
             _ if leads => self.found_primary(it.index, now),
             Some(at) if at == it.index => self.lose_primary(now),
@@ -92,7 +92,7 @@
     }
 
     /// Whether a server is the primary of the newest term: by its own word, unless its log lacks what a replica has.
-    pub(super) fn weigh(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) -> bool {
+    pub(super) fn judge_claim(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) -> bool {
         if status.term != self.term.get() {
             return false;
         }
@@ -148,11 +148,11 @@
     }
 
     /// A replica that came back with nothing, where what was acknowledged with its word may be held by the primary alone.
-    pub fn hollow(&self) -> Option<Name> {
+    pub fn unrecovered(&self) -> Option<Name> {
         let servers = self.servers.borrow();
         let led = self.leader.get().map(|it| servers[it.1].entry().id.clone());
-        let hollow = |it: &Upstream| !it.is_gone() && it.recovery.get().is_some_and(|it| !it.is_whole());
-        let it = servers.iter().find(|it| hollow(it) && Some(&it.entry().id) != led.as_ref())?;
+        let unrecovered = |it: &Upstream| !it.is_gone() && it.recovery.get().is_some_and(|it| !it.is_whole());
+        let it = servers.iter().find(|it| unrecovered(it) && Some(&it.entry().id) != led.as_ref())?;
         Some(it.entry().id.clone())
     }
 
--- a/crates/engine/src/group/listing.rs
+++ b/crates/engine/src/group/listing.rs
@@ -21,7 +21,7 @@
     pub fn enter(self: &Rc<Self>, inst: &Rc<Instance>, server: Server) {
         let Some(it) = self.present(&server.id) else { return self.add(inst, server, None) };
         if it.entry().incarnation != server.incarnation {
-            return self.succeed(inst, &it, server);
+            return self.replace_run(inst, &it, server);
         }
         let hint = server.role == Some(Role::Primary) && it.entry().role != server.role;
         it.missing.set(None);
@@ -40,17 +40,17 @@
     /// The present run of a server, as far as it is known here.
     pub(super) fn present(&self, id: &Name) -> Option<Rc<Upstream>> {
         let servers = self.servers.borrow();
-        servers.iter().find(|it| !it.succeeded.get() && it.entry().id == *id).cloned()
+        servers.iter().find(|it| !it.superseded.get() && it.entry().id == *id).cloned()
     }
 
     /// A server has started again. Nothing of what its earlier run showed counts, nor will it if an entry of that run
     /// comes once more.
-    pub(super) fn succeed(self: &Rc<Self>, inst: &Rc<Instance>, old: &Rc<Upstream>, server: Server) {
+    pub(super) fn replace_run(self: &Rc<Self>, inst: &Rc<Instance>, old: &Rc<Upstream>, server: Server) {
         let now = inst.now();
         let (id, run, before) = (server.id.as_str(), server.incarnation, old.entry().incarnation);
         log::info!(group = self.name.as_str(), server = id, run:% = run, before:% = before; "started again");
         inst.counters.one(Count::Restarts);
-        old.succeeded.set(true);
+        old.superseded.set(true);
         old.gone.set(true);
         old.pool.trim(Instant::now(), true);
         self.forget(old, now);
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -234,7 +234,8 @@
     let term = group.term();
     let old = group.primary().map_or(Name::new(), |it| it.entry().id.clone());
     log::info!(group = group.name.as_str(), primary = old.as_str(), term = term.0, cause:% = cause; "change of primary begins");
-    let changed = Change { inst: &inst, group: &group, term, losses: group.losses(), begin }.run().await;
+    let changed =
+        Change { inst: &inst, group: &group, term, forgotten: group.forgotten(), begin }.run().await;
     let took_ms = began.elapsed().as_millis() as u64;
     match changed {
         Ok(id) => {
--- a/crates/engine/src/takeover/change.rs
+++ b/crates/engine/src/takeover/change.rs
@@ -32,7 +32,7 @@
     /// The term that is to end.
     pub(super) term: Term,
     /// How often a server had forgotten what it held when the change began.
-    pub(super) losses: u64,
+    pub(super) forgotten: u64,
     pub(super) begin: Begin,
 }
 
@@ -51,7 +51,7 @@
             old = Some(it);
         }
         known.retain(|it| it.1.role == Role::Replica);
-        self.spare_last_copy(&known)?;
+        self.check_last_copy(&known)?;
         let counts = |it: &Upstream| self.group.counts(it, self.term);
         let has = |at: Lsn| known.iter().any(|it| it.1.received.lsn >= at && counts(&it.0));
         if self.begin.cause == Cause::Stalled && self.begin.ahead.is_some_and(has) {
@@ -89,16 +89,16 @@
     /// Fails where only the lost primary may hold what was acknowledged: a replica came back with nothing in this term, and
     /// none had caught up with the primary since. The primary comes back with its log, or its entry goes; then what is
     /// left has to do.
-    fn spare_last_copy(&self, replicas: &[(Rc<Upstream>, Status)]) -> Result<(), Failed> {
+    fn check_last_copy(&self, replicas: &[(Rc<Upstream>, Status)]) -> Result<(), Failed> {
         let lost = matches!(self.begin.cause, Cause::Silent | Cause::Refused | Cause::Absent);
-        let Some(hollow) = self.group.hollow().filter(|_| lost) else { return Ok(()) };
+        let Some(unrecovered) = self.group.unrecovered().filter(|_| lost) else { return Ok(()) };
         let heard = |it: &Upstream| replicas.iter().any(|known| known.0.index == it.index);
         if self.group.led_by().is_some_and(|it| !heard(&it)) {
             return Err("a replica came back with nothing, and only the primary may hold what it had");
         }
         self.inst.counters.one(Count::Losses);
         let (group, term) = (self.group.name.as_str(), self.term.0);
-        log::error!(group, server = hollow.as_str(), term; "acknowledged writes may be lost: the server came back with nothing, and the primary is gone");
+        log::error!(group, server = unrecovered.as_str(), term; "acknowledged writes may be lost: the server came back with nothing, and the primary is gone");
         Ok(())
     }
 
@@ -216,7 +216,7 @@
         for _ in 0..ORDERS {
             let now = self.inst.now();
             let token = self.inst.tenure.token(now).ok_or("the right to promote has ended")?;
-            if self.group.losses() != self.losses {
+            if self.group.forgotten() != self.forgotten {
                 return Err("a server that was asked has forgotten what it held");
             }
             self.inst.counters.one(Count::Promotions);
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -99,7 +99,7 @@
     pub(crate) missing: Cell<Option<Micros>>,
     pub(crate) gone: Cell<bool>,
     /// Whether a later run of its process is known: this one never comes back.
-    pub(crate) succeeded: Cell<bool>,
+    pub(crate) superseded: Cell<bool>,
     /// Whether its account of itself was ever wanted.
     pub(crate) wanted: Cell<bool>,
     /// When it was last asked.
@@ -143,7 +143,7 @@
             draining: Cell::new(draining),
             missing: Cell::default(),
             gone: Cell::default(),
-            succeeded: Cell::default(),
+            superseded: Cell::default(),
             wanted: Cell::default(),
             asked: Cell::default(),
             sent: Cell::default(),
--- a/crates/testbed/src/forget.rs
+++ b/crates/testbed/src/forget.rs
@@ -1,17 +1,14 @@
 //! An exhaustive walk over a change of primary while servers start again and hold nothing.
 //!
-//! The walk drives the decisions that ship ([`Gate`], [`Claim`], [`Recovery`]) as `pondtrack-engine` does: one writer that
+//! The walk drives the decisions that ship (`core::gate`, `core::claim`, `core::recovery`) as `pondtrack-engine` does: one writer that
 //! acknowledges and reads, one holder of the lease that replaces the primary without reaching it. Every step may come at any time;
 //! an order to promote may be carried out late or never. Three assumptions are built in: the directory tells of a run before
 //! anybody hears that run, an order to promote doesn't meet a later run of its server, and no change of primary lasts longer than
 //! a server that came back is passed over. [`Bounds`] drops the first two.
 
 use {
-    pondtrack_core::{
-        claim::{Claim, Verdict},
-        gate::Gate,
-        recovery::{Recovery, Witness},
-    },
+    self::view::{Status, View},
+    pondtrack_core::claim::Claim,
     pondtrack_proto::{Lsn, Mark, Term},
     std::{
         collections::{HashSet, VecDeque},
@@ -19,6 +16,8 @@
     },
 };
 
+mod view;
+
 /// Servers of the group; the first one leads term 1.
 const SERVERS: usize = 3;
 /// Runs of each server's process.
@@ -102,16 +101,6 @@
     blank: bool,
 }
 
-/// A server's account of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Status {
-    primary: bool,
-    term: u8,
-    at: Mark,
-    stopped: bool,
-    asked: u64,
-}
-
 impl Server {
     fn status(&self, asked: u64) -> Status {
         let term = self.log.last().map_or(0, |it| it.0);
@@ -120,134 +109,6 @@
     }
 }
 
-/// What an instance knows of the group, as `engine::group` keeps it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct View {
-    term: Term,
-    gate: Gate,
-    claim: Claim,
-    primary: Option<usize>,
-    leader: Option<(Term, usize)>,
-    runs: [usize; SERVERS],
-    recovery: [Option<Recovery>; SERVERS],
-    seen: [Option<Status>; SERVERS],
-}
-
-impl View {
-    fn new() -> View {
-        View {
-            term: Term(0),
-            gate: Gate::new(SERVERS * RUNS, 1),
-            claim: Claim::default(),
-            primary: None,
-            leader: None,
-            runs: [0; SERVERS],
-            recovery: [None; SERVERS],
-            seen: [None; SERVERS],
-        }
-    }
-
-    /// Its place in the group's evidence.
-    fn slot(&self, server: usize) -> usize {
-        server + SERVERS * self.runs[server]
-    }
-
-    /// The directory tells that a server has started again.
-    fn restarted(&mut self, server: usize, run: usize, now: u64) {
-        self.gate.forget_server(self.slot(server));
-        self.runs[server] = run;
-        self.recovery[server] = Some(Recovery::new(now, CHANGE));
-        self.seen[server] = None;
-        if self.primary == Some(server) {
-            self.primary = None;
-        }
-    }
-
-    fn saw(&mut self, server: usize, it: Status, bounds: Bounds) {
-        let old = self.seen[server].replace(it);
-        if !bounds.by_id && old.is_some_and(|old| old.term == it.term && it.at.lsn < old.at.lsn) {
-            let run = self.runs[server];
-            self.restarted(server, run, it.asked);
-            self.seen[server] = Some(it);
-        }
-        let term = Term(it.term.into());
-        if term > self.term {
-            self.term = term;
-            self.gate.begin(term);
-            self.claim = Claim::default();
-            self.primary = None;
-        }
-        let newest = self.term;
-        if let Some(recovery) = &mut self.recovery[server] {
-            recovery.heard(newest);
-        }
-        let leads = term == self.term && it.primary;
-        if term == self.term {
-            self.weigh(server, it);
-        }
-        let believed = bounds.no_claim || self.claim.verdict() != Verdict::Lacks;
-        match self.primary {
-            _ if leads && believed => {
-                self.primary = Some(server);
-                self.leader = Some((term, self.slot(server)));
-            }
-            Some(at) if at == server => self.primary = None,
-            _ => {}
-        }
-        let led = self.leader == Some((term, self.slot(server)));
-        if !it.primary && !it.stopped && !led && self.counts(server, bounds) {
-            self.gate.observe(self.slot(server), term, it.at);
-        }
-    }
-
-    /// The same for the holder, of whose evidence only what a change of primary begins with is kept.
-    fn decide(&mut self, server: usize, it: Status, bounds: Bounds) {
-        self.saw(server, it, bounds);
-        let View { gate, claim, seen, .. } = View::new();
-        (self.gate, self.claim, self.seen) = (gate, claim, seen);
-    }
-
-    fn weigh(&mut self, server: usize, it: Status) {
-        match it.primary {
-            true => self.claim.shows(self.slot(server), it.at.lsn, it.asked),
-            false if it.at.term == self.term => self.claim.received(it.at.lsn, it.asked),
-            false => {}
-        }
-        for recovery in self.recovery.iter_mut().flatten() {
-            match it.primary {
-                true => recovery.led(it.at, it.asked),
-                false => recovery.received(it.at),
-            }
-        }
-    }
-
-    /// Whether a replica's word counts in the newest term.
-    fn counts(&self, server: usize, bounds: Bounds) -> bool {
-        let Some(recovery) = self.recovery[server].filter(|_| !bounds.no_bar) else { return true };
-        let leads = |it: usize| self.primary == Some(it) || self.leader == Some((self.term, self.slot(it)));
-        let others = (0..SERVERS).filter(|it| *it != server && !leads(*it));
-        let witness = |it: usize| {
-            let it = self.seen[it]?;
-            Some(Witness {
-                asked: it.asked,
-                term: Term(it.term.into()),
-                receives: !it.primary && !it.stopped,
-            })
-        };
-        recovery.counts(self.term, others.map(witness))
-    }
-
-    fn holds(&self, bounds: Bounds) -> bool {
-        bounds.no_claim || self.claim.verdict() == Verdict::Holds
-    }
-
-    /// A replica that came back with nothing, and hasn't all that the primary held since.
-    fn is_hollow(&self) -> bool {
-        let leads = |it: usize| self.leader.is_some_and(|leader| leader.1 % SERVERS == it);
-        (0..SERVERS).any(|it| !leads(it) && self.recovery[it].is_some_and(|it| !it.is_whole()))
-    }
-}
-
 /// A write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Write {
@@ -569,7 +430,7 @@
     };
     let mut next = state.clone();
     next.change = Change::None;
-    let wait = state.holder.is_hollow() && !bounds.no_wait;
+    let wait = state.holder.is_unrecovered() && !bounds.no_wait;
     let target = known.iter().filter(|it| !it.0.primary).max_by_key(|it| it.0.at);
     if let Some((held, target)) = target.filter(|_| !wait && known.iter().all(|it| !it.0.primary)) {
         next.change = Change::Stopping { old, target: *target, held: held.at };
--- /dev/null
+++ b/crates/testbed/src/forget/view.rs
@@ -0,0 +1,149 @@
+//! What an instance of the walk knows of the group, kept as `pondtrack-engine` does.
+
+use {
+    super::{Bounds, CHANGE, RUNS, SERVERS},
+    pondtrack_core::{
+        claim::{Claim, Verdict},
+        gate::Gate,
+        recovery::{Recovery, Witness},
+    },
+    pondtrack_proto::{Mark, Term},
+};
+
+/// A server's account of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Status {
+    pub(super) primary: bool,
+    pub(super) term: u8,
+    pub(super) at: Mark,
+    pub(super) stopped: bool,
+    pub(super) asked: u64,
+}
+
+/// What an instance knows of the group, as `engine::group` keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct View {
+    pub(super) term: Term,
+    pub(super) gate: Gate,
+    pub(super) claim: Claim,
+    pub(super) primary: Option<usize>,
+    pub(super) leader: Option<(Term, usize)>,
+    pub(super) runs: [usize; SERVERS],
+    pub(super) recovery: [Option<Recovery>; SERVERS],
+    pub(super) seen: [Option<Status>; SERVERS],
+}
+
+impl View {
+    pub(super) fn new() -> View {
+        View {
+            term: Term(0),
+            gate: Gate::new(SERVERS * RUNS, 1),
+            claim: Claim::default(),
+            primary: None,
+            leader: None,
+            runs: [0; SERVERS],
+            recovery: [None; SERVERS],
+            seen: [None; SERVERS],
+        }
+    }
+
+    /// Its place in the group's evidence.
+    pub(super) fn slot(&self, server: usize) -> usize {
+        server + SERVERS * self.runs[server]
+    }
+
+    /// The directory tells that a server has started again.
+    pub(super) fn restarted(&mut self, server: usize, run: usize, now: u64) {
+        self.gate.forget_server(self.slot(server));
+        self.runs[server] = run;
+        self.recovery[server] = Some(Recovery::new(now, CHANGE));
+        self.seen[server] = None;
+        if self.primary == Some(server) {
+            self.primary = None;
+        }
+    }
+
+    pub(super) fn saw(&mut self, server: usize, it: Status, bounds: Bounds) {
+        let old = self.seen[server].replace(it);
+        if !bounds.by_id && old.is_some_and(|old| old.term == it.term && it.at.lsn < old.at.lsn) {
+            let run = self.runs[server];
+            self.restarted(server, run, it.asked);
+            self.seen[server] = Some(it);
+        }
+        let term = Term(it.term.into());
+        if term > self.term {
+            self.term = term;
+            self.gate.begin(term);
+            self.claim = Claim::default();
+            self.primary = None;
+        }
+        let newest = self.term;
+        if let Some(recovery) = &mut self.recovery[server] {
+            recovery.heard(newest);
+        }
+        let leads = term == self.term && it.primary;
+        if term == self.term {
+            self.judge_claim(server, it);
+        }
+        let believed = bounds.no_claim || self.claim.verdict() != Verdict::Lacks;
+        match self.primary {
+            _ if leads && believed => {
+                self.primary = Some(server);
+                self.leader = Some((term, self.slot(server)));
+            }
+            Some(at) if at == server => self.primary = None,
+            _ => {}
+        }
+        let led = self.leader == Some((term, self.slot(server)));
+        if !it.primary && !it.stopped && !led && self.counts(server, bounds) {
+            self.gate.observe(self.slot(server), term, it.at);
+        }
+    }
+
+    /// The same for the holder, of whose evidence only what a change of primary begins with is kept.
+    pub(super) fn decide(&mut self, server: usize, it: Status, bounds: Bounds) {
+        self.saw(server, it, bounds);
+        let View { gate, claim, seen, .. } = View::new();
+        (self.gate, self.claim, self.seen) = (gate, claim, seen);
+    }
+
+    pub(super) fn judge_claim(&mut self, server: usize, it: Status) {
+        match it.primary {
+            true => self.claim.shows(self.slot(server), it.at.lsn, it.asked),
+            false if it.at.term == self.term => self.claim.received(it.at.lsn, it.asked),
+            false => {}
+        }
+        for recovery in self.recovery.iter_mut().flatten() {
+            match it.primary {
+                true => recovery.led(it.at, it.asked),
+                false => recovery.received(it.at),
+            }
+        }
+    }
+
+    /// Whether a replica's word counts in the newest term.
+    pub(super) fn counts(&self, server: usize, bounds: Bounds) -> bool {
+        let Some(recovery) = self.recovery[server].filter(|_| !bounds.no_bar) else { return true };
+        let leads = |it: usize| self.primary == Some(it) || self.leader == Some((self.term, self.slot(it)));
+        let others = (0..SERVERS).filter(|it| *it != server && !leads(*it));
+        let witness = |it: usize| {
+            let it = self.seen[it]?;
+            Some(Witness {
+                asked: it.asked,
+                term: Term(it.term.into()),
+                receives: !it.primary && !it.stopped,
+            })
+        };
+        recovery.counts(self.term, others.map(witness))
+    }
+
+    pub(super) fn holds(&self, bounds: Bounds) -> bool {
+        bounds.no_claim || self.claim.verdict() == Verdict::Holds
+    }
+
+    /// A replica that came back with nothing, and hasn't all that the primary held since.
+    pub(super) fn is_unrecovered(&self) -> bool {
+        let leads = |it: usize| self.leader.is_some_and(|leader| leader.1 % SERVERS == it);
+        (0..SERVERS).any(|it| !leads(it) && self.recovery[it].is_some_and(|it| !it.is_whole()))
+    }
+}
