--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -90,7 +90,6 @@
     let as_of = objects.as_of;
     // Another instance may have told of a later state while this answer was under way.
     let is_old = inst.revision(what).is_some_and(|it| it > as_of);
-
     let old = inst.directory();
     let mut servers = if whole { Vec::new() } else { old.clone() };
     for it in objects.items {
--- a/crates/engine/src/lease.rs
+++ b/crates/engine/src/lease.rs
@@ -103,8 +103,11 @@
 /// Whether an instance may come to hold the right: in a large fleet those who watch the store for all are enough to find it
 /// free.
 pub fn is_candidate(inst: &Instance) -> bool {
-    let others = inst.peers().map_or(0, |it| it.len());
-    others < ALL_LOOK || inst.spread.must_watch(inst)
+    is_one_of_few(inst) || inst.spread.must_watch(inst)
+}
+
+fn is_one_of_few(inst: &Instance) -> bool {
+    inst.peers().map_or(0, |it| it.len()) < ALL_LOOK
 }
 
 impl Keeper {
@@ -115,12 +118,9 @@
             let lapsed = self.inst.tenure.token(self.inst.now()).is_none();
             return if lapsed { LOOK } else { RENEW };
         }
-        // In a large fleet those who watch the store for all are enough to find the right free.
-        let others = self.inst.peers().map_or(0, |it| it.len());
-        let spread = &self.inst.spread;
         let pause = match () {
-            () if others < ALL_LOOK || spread.is_watcher(&self.inst) => LOOK,
-            () if spread.must_watch(&self.inst) => LONG_LOOK,
+            () if is_one_of_few(&self.inst) || self.inst.spread.is_watcher(&self.inst) => LOOK,
+            () if is_candidate(&self.inst) => LONG_LOOK,
             () => return LOOK,
         };
         self.look().await;
--- a/crates/engine/src/unreadable.rs
+++ b/crates/engine/src/unreadable.rs
@@ -32,16 +32,6 @@
         }
     }
 
-    /// How many there are; those beyond the limit are not counted.
-    pub fn len(&self) -> usize {
-        self.known.len()
-    }
-
-    /// Whether there is none.
-    pub fn is_empty(&self) -> bool {
-        self.known.is_empty()
-    }
-
     fn find(&self, what: Collection, name: &Name) -> Result<usize, usize> {
         let key = (<&str>::from(what), name.as_str());
         self.known.binary_search_by(|it| (it.0, it.1.as_str()).cmp(&key))
