Quota: shares of a limit that are lent for a term, so that all instances together stay within it

What an organisation may use holds over all instances, also those that are cut off. Each instance owns an even share of each limit and lends it to the limiter of the organisation's slot; a share fills one bucket at a time, whoever takes whom for the limiter.

Weighed: even shares (a fraction of an operation a second each: serves nobody); one instance found by hashing that counts alone (two sides of a cut have one each, twice the limit); the holder of the store's lease (nothing is granted while the store is away).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 //! | [`balance`] | what a server costs at present |
 //! | [`place`] | home instances and their shares of connections |
 //! | [`admit`] | queues, fairness and learned limits |
+//! | [`quota`] | usage limits of organisations over all instances |
 //! | [`turn`] | who runs next at a server that has too much to do |
 //! | [`retry`] | budgets and backoff |
 //! | [`member`] | probes, suspicion, incarnations |
@@ -54,6 +55,7 @@
 pub mod member;
 pub mod place;
 pub mod plan;
+pub mod quota;
 pub mod recovery;
 pub mod request_key;
 pub mod retry;
--- /dev/null
+++ b/crates/core/src/quota.rs
@@ -0,0 +1,88 @@
+//! Usage limits of organisations over all instances.
+//!
+//! An organisation's limit is a token bucket: so many operations a second, and a burst. Every instance owns an even
+//! share of every limit. A share of a few operations a minute serves nobody, so instances lend theirs, for a short
+//! term, to one that grants tokens to all: the [`Limiter`] of the organisation's slot. What is granted anywhere adds up
+//! to what shares have filled, whoever believes to be whose limiter and however the network is cut: a share fills in
+//! one place at a time.
+//!
+//! | part | holds |
+//! | --- | --- |
+//! | [`Lender`] | where the shares of an instance are |
+//! | [`Limiter`] | what was lent to an instance, and the buckets that it fills |
+//!
+//! What must hold, in any window: tokens granted by all limiters together stay within the rate times the window, the
+//! burst, [`Limits::margin`], and the tokens that come in within [`HOLD`].
+
+mod lender;
+mod limiter;
+
+pub use self::{
+    lender::Lender,
+    limiter::{Grant, Limiter},
+};
+
+use {
+    serde::{Deserialize, Serialize},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Organisations are dealt to so many slots, each with a limiter of its own. An instance speaks to as many others each
+/// [`TERM`], whatever the fleet's size.
+pub const SLOTS: usize = 8;
+
+/// How long a share is lent, in microseconds. A limiter that is lost takes its shares with it for as long.
+pub const TERM: u64 = 1_500_000;
+
+/// A token may be granted this long before it comes in, in microseconds: its caller waits meanwhile, in order, in place
+/// of asking again.
+pub const HOLD: u64 = 60_000;
+
+/// Microseconds in a second.
+const SECOND: f64 = 1e6;
+
+/// The slot of an organisation.
+pub fn slot(organisation: &str) -> usize {
+    xxh3_64(organisation.as_bytes()) as usize % SLOTS
+}
+
+/// A set of slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Slots(u8);
+
+impl Slots {
+    /// Adds a slot.
+    pub fn insert(&mut self, slot: usize) {
+        self.0 |= 1 << slot;
+    }
+
+    /// Whether a slot is among them.
+    pub fn contains(self, slot: usize) -> bool {
+        self.0 & (1 << slot) != 0
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+}
+
+/// An organisation's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Operations a second.
+    pub rate: f64,
+    /// Operations at once after a pause.
+    pub burst: f64,
+    /// Operations above these that are tolerated, whatever the limit.
+    pub margin: f64,
+}
+
+/// A moment on a limiter's clock, which it alone can read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Tells apart the processes that an instance has run as.
+    pub process: u64,
+    /// Microseconds of that process's monotonic clock.
+    pub at: u64,
+}
--- /dev/null
+++ b/crates/core/src/quota/limiter.rs
@@ -0,0 +1,214 @@
+//! Shares that were lent to an instance, and the buckets that they fill.
+
+use {
+    super::{HOLD, Limits, SECOND, SLOTS, Slots, Stamp, TERM, slot},
+    pondtrack_proto::Name,
+    serde::{Deserialize, Serialize},
+};
+
+/// A bucket that nobody asked for this long is forgotten, in microseconds.
+const IDLE: u64 = 60_000_000;
+
+/// The outcome of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Grant {
+    /// So many operations may run, after a pause in microseconds.
+    Granted {
+        /// Operations, as many as were asked for or fewer.
+        count: u32,
+        /// The pause.
+        after: u64,
+    },
+    /// None; there is room for one in so many microseconds.
+    Refused {
+        /// Until then.
+        after: u64,
+    },
+}
+
+/// A share that was lent.
+#[derive(Clone, Debug)]
+struct Loan {
+    lender: Name,
+    /// The lender's count of its messages: an older one that is late changes nothing.
+    seq: u64,
+    share: f64,
+    until: u64,
+}
+
+/// An organisation's bucket.
+#[derive(Clone, Debug)]
+struct Bucket {
+    organisation: Name,
+    /// Tokens; below zero where some were granted ahead.
+    level: f64,
+    /// What the slot had filled when the level was set.
+    filled: f64,
+    /// The limit when it was last asked.
+    limits: Limits,
+    used: u64,
+}
+
+impl Bucket {
+    /// Takes in what came since the level was set.
+    fn fill(&mut self, filled: f64, sum: f64) {
+        let most = (self.limits.burst + self.limits.margin) * sum;
+        self.level = (self.level + self.limits.rate * (filled - self.filled)).min(most);
+        self.filled = filled;
+    }
+}
+
+/// The shares of a slot.
+#[derive(Clone, Debug, Default)]
+struct Slot {
+    /// Sorted by lender.
+    loans: Vec<Loan>,
+    /// The sum of their shares.
+    sum: f64,
+    /// When the first of them ends.
+    ends: u64,
+    /// What they have filled so far of a limit of one operation a second.
+    filled: f64,
+    /// The same when the sum last fell: a bucket that isn't kept counts as empty then.
+    fell: f64,
+    /// When that was last worked out.
+    at: u64,
+    /// Sorted by organisation.
+    buckets: Vec<Bucket>,
+}
+
+/// What was lent to one instance. Times are microseconds of its monotonic clock.
+#[derive(Clone, Debug)]
+pub struct Limiter {
+    process: u64,
+    slots: [Slot; SLOTS],
+}
+
+impl Limiter {
+    /// Nothing was lent yet; `process` tells apart the processes that an instance runs as.
+    pub fn new(process: u64) -> Limiter {
+        Limiter { process, slots: Default::default() }
+    }
+
+    /// The present moment, for a lender to hand back.
+    pub fn stamp(&self, now: u64) -> Stamp {
+        Stamp { process: self.process, at: now }
+    }
+
+    /// An instance lends its share of these slots, and of no others, for a term from a moment that it was told before.
+    /// Hands back the slots whose shares are used now.
+    pub fn lent(
+        &mut self,
+        lender: &Name,
+        seq: u64,
+        slots: Slots,
+        share: f64,
+        since: Option<Stamp>,
+        now: u64,
+    ) -> Slots {
+        let known = since.filter(|it| it.process == self.process && it.at <= now);
+        let lent = known.map_or(0, |it| it.at + TERM);
+        let mut used = Slots::default();
+        for (n, slot) in self.slots.iter_mut().enumerate() {
+            slot.advance(now);
+            // One that was taken back is remembered for as long as an older message could name it.
+            let (share, until) =
+                if slots.contains(n) && lent > now { (share, lent) } else { (0.0, now + TERM) };
+            if slot.put(Loan { lender: lender.clone(), seq, share, until }) {
+                used.insert(n);
+            }
+        }
+        used
+    }
+
+    /// An organisation wants to run so many operations.
+    pub fn claim(&mut self, organisation: &Name, limits: Limits, count: u32, now: u64) -> Grant {
+        let slot = &mut self.slots[slot(organisation)];
+        slot.advance(now);
+        slot.claim(organisation, limits, count, now)
+    }
+
+    /// The sum of the shares that were lent for an organisation.
+    pub fn share(&self, organisation: &str) -> f64 {
+        self.slots[slot(organisation)].sum
+    }
+
+    /// Forgets buckets that nobody has asked for a long time.
+    pub fn trim(&mut self, now: u64) {
+        for it in &mut self.slots {
+            it.buckets.retain(|bucket| now.saturating_sub(bucket.used) < IDLE);
+        }
+    }
+}
+
+impl Slot {
+    /// Fills up to a time, and drops the loans that have ended by then.
+    fn advance(&mut self, now: u64) {
+        while self.ends <= now && !self.loans.is_empty() {
+            self.fill(self.ends.max(self.at));
+            let at = self.at;
+            self.loans.retain(|it| it.until > at);
+            self.sum_up();
+        }
+        self.fill(now);
+    }
+
+    fn fill(&mut self, now: u64) {
+        self.filled += self.sum * now.saturating_sub(self.at) as f64 / SECOND;
+        self.at = self.at.max(now);
+    }
+
+    fn sum_up(&mut self) {
+        let before = self.sum;
+        self.sum = self.loans.iter().map(|it| it.share).sum();
+        self.ends = self.loans.iter().map(|it| it.until).min().unwrap_or(u64::MAX);
+        if self.sum < before {
+            self.fell = self.filled;
+            let kept = if before > 0.0 { self.sum / before } else { 0.0 };
+            // Whoever takes a share elsewhere begins there with nothing, and leaves nothing of it here.
+            for it in &mut self.buckets {
+                it.fill(self.filled, before);
+                it.level = it.level.min(0.0) + it.level.max(0.0) * kept;
+            }
+        }
+    }
+
+    /// Takes a loan in; says whether its lender's share is used here now.
+    fn put(&mut self, it: Loan) -> bool {
+        let share = it.share;
+        match self.loans.binary_search_by(|old| old.lender.cmp(&it.lender)) {
+            Ok(at) if self.loans[at].seq >= it.seq => return self.loans[at].share > 0.0,
+            Ok(at) => self.loans[at] = it,
+            Err(_) if share == 0.0 => return false,
+            Err(at) => self.loans.insert(at, it),
+        }
+        self.sum_up();
+        share > 0.0
+    }
+
+    fn claim(&mut self, organisation: &Name, limits: Limits, count: u32, now: u64) -> Grant {
+        let (sum, filled) = (self.sum, self.filled);
+        let rate = limits.rate * sum;
+        let at = match self.buckets.binary_search_by(|it| it.organisation.cmp(organisation)) {
+            Ok(at) => at,
+            Err(at) => {
+                let (organisation, filled) = (organisation.clone(), self.fell);
+                self.buckets.insert(at, Bucket { organisation, level: 0.0, filled, limits, used: now });
+                at
+            }
+        };
+        let it = &mut self.buckets[at];
+        it.limits = limits;
+        it.fill(filled, sum);
+        it.used = now;
+        let ahead = rate * HOLD as f64 / SECOND;
+        let granted = (it.level + ahead).floor().clamp(0.0, count.into());
+        // What has no share at all has no rate either: such callers are told to come back after a term.
+        let pause = |tokens: f64| if rate > 0.0 { (tokens / rate * SECOND).ceil() as u64 } else { TERM };
+        if granted < 1.0 {
+            return Grant::Refused { after: pause(1.0 - ahead - it.level) };
+        }
+        it.level -= granted;
+        Grant::Granted { count: granted as u32, after: if it.level < 0.0 { pause(-it.level) } else { 0 } }
+    }
+}
