Organisations: whose request it is, connections of one organisation, quotas over all instances

Change: organisations are decoded at the edge, each by itself, their keys hashed there; a session keeps the hash of its key and is looked up at each operation, and in a transaction at each statement. A connection belongs to an owner for all its life; where all belong to others, the longest idle one makes room. An operation runs once the limiter of its organisation has granted it. Relays carry the owner, the configuration's differences carry organisations.

--- a/crates/engine/src/ask.rs
+++ b/crates/engine/src/ask.rs
@@ -112,7 +112,7 @@
     it: &Upstream,
     order: &Order,
 ) -> Result<Status, Unanswered> {
-    let want = Want { priority: 0, until: Instant::now() + ASK_WAIT, values: None };
+    let want = Want { priority: 0, until: Instant::now() + ASK_WAIT, values: None, owner: None };
     let server = it.entry();
     let mut lease = match it.pool.lend(inst, &server, want).await {
         Ok(lease) => lease,
--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -9,6 +9,7 @@
         link::Link,
         message::{Ask, Run, Sent, ServerRun, Told},
         model::{Answer, Order, TxnState},
+        organisation::Owner,
         pool::{Denied, Lease, Want},
         ports::{Forward, Text},
         session::Prepared,
@@ -158,6 +159,7 @@
     link: Rc<Link>,
     stream: u64,
     server: ServerRun,
+    owner: Owner,
     /// When a statement that waits there for a connection is to be given up.
     until: Instant,
     pinned: bool,
@@ -167,9 +169,9 @@
 
 impl Relayed {
     /// A stream over a link; nothing is sent yet.
-    pub fn new(peer: Name, link: Rc<Link>, server: ServerRun, until: Instant) -> Relayed {
+    pub fn new(peer: Name, link: Rc<Link>, server: ServerRun, owner: Owner, until: Instant) -> Relayed {
         let stream = link.stream();
-        Relayed { peer, link, stream, server, until, pinned: false, queued: false }
+        Relayed { peer, link, stream, server, owner, until, pinned: false, queued: false }
     }
 
     fn set_pinned(&mut self, pinned: bool) {
@@ -200,6 +202,7 @@
             wait_ms: left(self.until),
             left_ms: left(it.end - ANSWER_BACK),
             slow: it.slow,
+            owner: self.owner.clone(),
             values: it.values.map(|it| it.to_vec()).unwrap_or_default(),
             named: it.named.cloned(),
             what,
@@ -216,7 +219,12 @@
             Told::Gone => Err(RunError::Gone),
             Told::Late => Err(RunError::Late),
             Told::Broken(reason) => Err(RunError::Broken { reason }),
-            Told::Status(_) | Told::Turn { .. } | Told::Part(_) | Told::Elsewhere(_) => {
+            Told::Status(_)
+            | Told::Turn { .. }
+            | Told::Part(_)
+            | Told::Elsewhere(_)
+            | Told::Lent { .. }
+            | Told::Granted(_) => {
                 Err(RunError::Broken { reason: "another answer than asked for".to_owned() })
             }
         }
--- a/crates/engine/src/conn.rs
+++ b/crates/engine/src/conn.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         model::{Answer, Code, Order, Server, TxnState},
+        organisation::Owner,
         ports::{Dialect, WireError},
         settings::OPEN_LIMIT,
     },
@@ -89,6 +90,8 @@
     peer: SocketAddrV4,
     stream: TcpStream,
     buf: BytesMut,
+    /// Whose statements it carries.
+    pub owner: Owner,
     /// The session values set on it; none when they are not known.
     pub values: Option<Values>,
     /// The names of statements prepared on it, sorted.
@@ -99,12 +102,14 @@
 
 impl Conn {
     /// Opens a connection; the server has to have the id that its entry names.
-    pub async fn open(dialect: &dyn Dialect, server: &Server) -> Result<Conn, ConnError> {
+    pub async fn open(dialect: &dyn Dialect, server: &Server, owner: Owner) -> Result<Conn, ConnError> {
         let peer = server.addr;
-        timeout(OPEN_LIMIT, Conn::greet(dialect, server)).await.map_err(|_| ConnError::Silent { peer })?
+        timeout(OPEN_LIMIT, Conn::greet(dialect, server, owner))
+            .await
+            .map_err(|_| ConnError::Silent { peer })?
     }
 
-    async fn greet(dialect: &dyn Dialect, server: &Server) -> Result<Conn, ConnError> {
+    async fn greet(dialect: &dyn Dialect, server: &Server, owner: Owner) -> Result<Conn, ConnError> {
         let peer = server.addr;
         let stream = TcpStream::connect(SocketAddr::V4(peer)).await.context(ConnectSnafu { peer })?;
         stream.set_nodelay(true).context(ConnectSnafu { peer })?;
@@ -115,12 +120,13 @@
             peer,
             stream,
             buf,
+            owner,
             values: Some(Values::default()),
             prepared: Vec::new(),
             txn: TxnState::Idle,
         };
         let mut out = BytesMut::new();
-        dialect.open(&server.group, &server.id, &mut out);
+        dialect.open(&server.group, &server.id, &it.owner, &mut out);
         it.send(&out).await?;
         loop {
             if let Some(answer) = dialect.opening(&mut it.buf).context(WireSnafu { peer })? {
--- a/crates/engine/src/count.rs
+++ b/crates/engine/src/count.rs
@@ -33,6 +33,10 @@
     NotRun,
     /// Statements answered as unknown.
     Unknown,
+    /// Operations refused as their organisation had used its quota.
+    OverLimit,
+    /// Callers refused for their key.
+    Denied,
     /// Connections to servers opened.
     Opened,
     /// Connections that servers refused for their limit.
--- a/crates/engine/src/document.rs
+++ b/crates/engine/src/document.rs
@@ -9,6 +9,7 @@
         instance::Instance,
         message::Member,
         model::{Desired, GroupSpec, Route, Server},
+        organisation::{Organisation, Organisations},
         peer::Peer,
         ports::Collection,
     },
@@ -57,6 +58,8 @@
     pub routes: Delta<Route>,
     /// Groups.
     pub groups: Delta<GroupSpec>,
+    /// Organisations; none where callers are not told apart.
+    pub organisations: Option<Delta<Organisation>>,
     /// A transaction that is idle for longer may be ended.
     pub txn_idle: Duration,
     /// The longest statement of a caller, in bytes.
@@ -81,6 +84,7 @@
 pub struct History {
     routes: RefCell<ChangeLog>,
     groups: RefCell<ChangeLog>,
+    organisations: RefCell<ChangeLog>,
     servers: RefCell<ChangeLog>,
     /// The digests of the newest configuration and directory, with their versions. To encode 900 servers for one takes
     /// 60 µs (release, one process), and each of 300 instances may ask for a difference of its own.
@@ -96,6 +100,10 @@
     &it.name
 }
 
+fn organisation(it: &Organisation) -> &Name {
+    &it.name
+}
+
 fn server(it: &Server) -> &Name {
     &it.id
 }
@@ -107,6 +115,8 @@
         let (routes, groups) = old.map_or((&[][..], &[][..]), |it| (&it.routes, &it.groups));
         self.routes.borrow_mut().note(new.version, touched(routes, &new.routes, database));
         self.groups.borrow_mut().note(new.version, touched(groups, &new.groups, group));
+        let organisations = touched(old.map_or(&[], organisations), organisations(new), organisation);
+        self.organisations.borrow_mut().note(new.version, organisations);
     }
 
     /// A directory takes the place of another.
@@ -175,20 +185,40 @@
     }
 }
 
+fn organisations(it: &Desired) -> &[Organisation] {
+    it.organisations.as_ref().map_or(&[], Organisations::all)
+}
+
 fn desired(inst: &Instance, since: u64) -> Option<DesiredChange> {
     let it = inst.desired().filter(|it| it.version > since)?;
     let revision = inst.revision(Collection::Desired)?;
-    let logs = (inst.history.routes.borrow(), inst.history.groups.borrow());
-    let keys = (since > 0).then(|| logs.0.since(since).zip(logs.1.since(since))).flatten();
-    let (since, routes, groups) = match keys {
-        Some((routes, groups)) => {
-            (since, Delta::of_keys(routes, &it.routes, database), Delta::of_keys(groups, &it.groups, group))
+    let log = &inst.history;
+    let logs = (log.routes.borrow(), log.groups.borrow(), log.organisations.borrow());
+    let keys = (logs.0.since(since), logs.1.since(since), logs.2.since(since));
+    let known = organisations(&it);
+    let (since, routes, groups, changed) = match keys {
+        (Some(routes), Some(groups), Some(changed)) if since > 0 => {
+            let (routes, groups) =
+                (Delta::of_keys(routes, &it.routes, database), Delta::of_keys(groups, &it.groups, group));
+            (since, routes, groups, Delta::of_keys(changed, known, organisation))
         }
-        None => (0, Delta::whole(&it.routes), Delta::whole(&it.groups)),
+        _ => (0, Delta::whole(&it.routes), Delta::whole(&it.groups), Delta::whole(known)),
     };
-    let digest = kept(&inst.history.desired_digest, it.version, || digest_of(&(&it.routes, &it.groups)));
+    let organisations = it.organisations.is_some().then_some(changed);
+    let digest =
+        kept(&inst.history.desired_digest, it.version, || digest_of(&(&it.routes, &it.groups, known)));
     let (version, txn_idle, message_bytes) = (it.version, it.txn_idle, it.message_bytes);
-    Some(DesiredChange { since, version, revision, routes, groups, txn_idle, message_bytes, digest })
+    Some(DesiredChange {
+        since,
+        version,
+        revision,
+        routes,
+        groups,
+        organisations,
+        txn_idle,
+        message_bytes,
+        digest,
+    })
 }
 
 fn directory(inst: &Instance, since: u64) -> Option<Document> {
@@ -222,15 +252,17 @@
     if version >= it.version {
         return Ok(());
     }
-    let old = base(it.since, version, || known.as_ref().map(|it| (it.routes.clone(), it.groups.clone())))?;
-    let (routes, groups) = old.unwrap_or_default();
-    let routes = it.routes.apply(&routes, database);
-    let groups = it.groups.apply(&groups, group);
-    if digest_of(&(&routes, &groups)) != it.digest {
+    let old = base(it.since, version, || known.clone())?;
+    let old = old.as_deref();
+    let routes = it.routes.apply(old.map_or(&[], |it| &it.routes), database);
+    let groups = it.groups.apply(old.map_or(&[], |it| &it.groups), group);
+    let changed = it.organisations.map(|it| it.apply(old.map_or(&[], organisations), organisation));
+    if digest_of(&(&routes, &groups, changed.as_deref().unwrap_or_default())) != it.digest {
         return Err(DocumentError::Differs);
     }
+    let organisations = changed.map(Organisations::new);
     let (version, txn_idle, message_bytes) = (it.version, it.txn_idle, it.message_bytes);
-    inst.adopt(Desired { version, routes, groups, txn_idle, message_bytes }, it.revision);
+    inst.adopt(Desired { version, routes, groups, organisations, txn_idle, message_bytes }, it.revision);
     Ok(())
 }
 
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -194,10 +194,14 @@
             };
             inst.counters.one(Count::StoreCalls);
             let name = inst.settings.name.clone();
+            let is_new = self.revision.is_none();
             let store = &inst.edge.store;
             let put = store.put(Collection::Instances, name, Record::Instance(record), self.revision);
             match put.await {
                 Ok(it) => {
+                    if is_new && inst.peers().is_some_and(|it| !it.is_empty()) {
+                        inst.limit.set_new();
+                    }
                     self.revision = Some(it);
                     self.written = Some(Instant::now());
                     return;
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -8,6 +8,7 @@
         handout::Handout,
         leaders::Leaders,
         lease::Tenure,
+        limit::Limit,
         message::Member,
         model::{Desired, Server},
         peer::Peer,
@@ -126,12 +127,15 @@
     pub tenure: Tenure,
     /// Who led each group, as the store says.
     pub leaders: Leaders,
+    /// What organisations may use.
+    pub limit: Limit,
     lines: Cell<(Micros, u32)>,
 }
 
 impl Instance {
     /// An instance that knows nothing yet.
     pub fn new(settings: Settings, bounds: Bounds, edge: Edge) -> Rc<Instance> {
+        let clock = Clock(Instant::now());
         Rc::new(Instance {
             settings,
             bounds: Cell::new(bounds),
@@ -150,11 +154,12 @@
             history: History::default(),
             handout: Handout::default(),
             leaving: Cell::default(),
-            clock: Clock(Instant::now()),
+            clock,
             costs: RefCell::default(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::rng().random())),
             tenure: Tenure::default(),
             leaders: Leaders::default(),
+            limit: Limit::new(rand::rng().random(), clock.now()),
             lines: Cell::default(),
         })
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,8 @@
 //! | module | holds |
 //! | --- | --- |
 //! | [`model`] | statements, answers, configuration |
+//! | [`organisation`] | organisations, their keys and quotas |
+//! | [`limit`] | operations within the quotas of organisations |
 //! | [`ports`] | what an edge brings |
 //! | [`settings`] | timeouts, limits and weights |
 //! | [`instance`] | what the parts of an instance share |
@@ -39,9 +41,11 @@
 pub mod instance;
 pub mod leaders;
 pub mod lease;
+pub mod limit;
 pub mod link;
 pub mod message;
 pub mod model;
+pub mod organisation;
 pub mod peer;
 pub mod pool;
 pub mod ports;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -8,11 +8,15 @@
     crate::{
         instance::Micros,
         model::{Answer, Order, Server, Status},
+        organisation::Owner,
         ports::Collection,
         session::Prepared,
     },
     bytes::{Bytes, BytesMut},
-    pondtrack_core::turn::Rank,
+    pondtrack_core::{
+        quota::{Grant, Slots, Stamp},
+        turn::Rank,
+    },
     pondtrack_proto::{Incarnation, Mark, Name},
     serde::{Deserialize, Serialize},
     std::net::SocketAddrV4,
@@ -95,6 +99,10 @@
     Turn(TurnWish),
     /// To hand out what it knows of a collection.
     Fetch(Fetch),
+    /// To use the asking one's shares of limits, or to give them back.
+    Lend(Lending),
+    /// Operations within the limits of organisations.
+    Claim(Vec<Claim>),
     /// To give a server an order that it answers with its account of itself.
     Order {
         /// The server.
@@ -104,6 +112,30 @@
     },
 }
 
+/// Shares of limits that an instance lends to another, and to no one else.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Lending {
+    /// Who lends them.
+    pub from: Name,
+    /// Rises with each message.
+    pub seq: u64,
+    /// The slots whose shares are lent.
+    pub slots: Slots,
+    /// The share of each limit.
+    pub share: f64,
+    /// The moment that the other one told last, from which the term counts.
+    pub since: Option<Stamp>,
+}
+
+/// Operations of an organisation that wait to run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The organisation.
+    pub organisation: Name,
+    /// How many there are.
+    pub count: u32,
+}
+
 /// A server in the run of its process that the sender knows: what another run shows would be counted for the wrong one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerRun {
@@ -175,6 +207,8 @@
     pub wait_ms: u32,
     /// How long it may take in all, in milliseconds.
     pub left_ms: u32,
+    /// Whose statement it is.
+    pub owner: Owner,
     /// The session values that it needs.
     pub values: Vec<(Name, Name)>,
     /// The named statement that it runs.
@@ -237,6 +271,17 @@
     Late,
     /// A part of a document.
     Part(Part),
+    /// The other one's shares are used here, and the present moment.
+    Lent {
+        /// The slots.
+        slots: Slots,
+        /// The moment.
+        stamp: Stamp,
+        /// Whether the instance leaves, so that others should be asked.
+        leaving: bool,
+    },
+    /// What becomes of each claim.
+    Granted(Vec<Grant>),
     /// Others are handed a document at present. The instance that is named has it, or none is known that has.
     Elsewhere(Option<Name>),
 }
--- a/crates/engine/src/model.rs
+++ b/crates/engine/src/model.rs
@@ -1,6 +1,7 @@
 //! Statements, answers and configuration, whatever wire they travel on.
 
 use {
+    crate::organisation::{CallerKey, KeyHash, Organisations, Owner},
     bytes::Bytes,
     pondtrack_proto::{Incarnation, Mark, Name, Term},
     serde::{Deserialize, Serialize},
@@ -81,8 +82,8 @@
     Open {
         /// The database it asks for.
         database: Name,
-        /// Who it says it is.
-        caller: Name,
+        /// Shows whose caller it is, where callers are told apart.
+        key: CallerKey,
     },
     /// A statement.
     Statement(Statement),
@@ -304,6 +305,8 @@
     pub objective: Duration,
     /// Rank among routes that compete; 0 goes first.
     pub priority: u8,
+    /// Whether callers need no key.
+    pub public: bool,
 }
 
 /// Limits of a group's servers.
@@ -316,7 +319,7 @@
 }
 
 /// A configuration in full.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Desired {
     /// Its version; a higher one replaces it.
     pub version: u64,
@@ -324,6 +327,8 @@
     pub routes: Vec<Route>,
     /// Groups, sorted by name.
     pub groups: Vec<GroupSpec>,
+    /// Organisations; none where callers are not told apart.
+    pub organisations: Option<Organisations>,
     /// A transaction that is idle for longer may be ended.
     pub txn_idle: Duration,
     /// The longest statement of a caller, in bytes.
@@ -336,6 +341,15 @@
         let at = self.routes.binary_search_by(|it| it.database.as_str().cmp(database)).ok()?;
         Some(&self.routes[at])
     }
+
+    /// Whose a caller with a key is on a route; none where it isn't allowed there.
+    pub fn owner(&self, key: &KeyHash, route: &Route) -> Option<Owner> {
+        let Some(organisations) = &self.organisations else { return Some(Owner::Shared) };
+        match organisations.of_key(key) {
+            Some(it) => Some(Owner::Organisation(it.name.clone())),
+            None => route.public.then_some(Owner::Shared),
+        }
+    }
 }
 
 /// A database server, as its entry in the directory describes it.
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -1,7 +1,8 @@
 //! The connections of one instance to one server.
 //!
 //! Connections are scarce: the instances share out the server's limit. A connection belongs to one
-//! statement or one transaction at a time; who waits gets the next one by priority, then by arrival.
+//! statement or one transaction at a time, and all its life to one [`Owner`]; who waits gets the next one by priority,
+//! then by arrival. Where all belong to others, the one that has been idle for the longest makes room.
 
 use {
     crate::{
@@ -9,6 +10,7 @@
         count::Count,
         instance::Instance,
         model::{Code, Server},
+        organisation::Owner,
         settings::{EXTRA_IDLE, FULL_PAUSE},
     },
     std::{
@@ -21,6 +23,10 @@
     },
 };
 
+/// How often a connection may go to others than the first who waits, as it is of their organisation: opening another one
+/// costs the server a turn, and the first one must not wait for as long as others come.
+const PASSED_MOST: u32 = 3;
+
 /// Why there is no connection.
 #[derive(Debug)]
 pub enum Denied {
@@ -41,10 +47,16 @@
     pub until: Instant,
     /// Session values that it would set; a connection that has them is preferred.
     pub values: Option<Values>,
+    /// Whose connection it has to be; none where any will do.
+    pub owner: Option<Owner>,
 }
 
 struct Waiter {
     priority: u8,
+    /// Whose connection it wants; none if any will do.
+    owner: Option<Owner>,
+    /// How often others behind it went first.
+    passed: u32,
     /// Gets a connection, or nothing when it may try to open one.
     turn: oneshot::Sender<Option<Lease>>,
 }
@@ -104,7 +116,7 @@
         want: Want,
     ) -> Result<Lease, Denied> {
         loop {
-            if let Some(conn) = self.take_idle(want.values.as_ref()) {
+            if let Some(conn) = self.take_idle(&want) {
                 return Ok(Lease {
                     pool: self.clone(),
                     conn: Some(conn),
@@ -113,8 +125,9 @@
                     pinned: false,
                 });
             }
-            if self.may_open() {
-                match self.open(inst, server).await {
+            if self.may_open() || self.make_room() {
+                let owner = want.owner.clone().unwrap_or_default();
+                match self.open(inst, server, owner).await {
                     Ok(it) => return Ok(it),
                     Err(ConnError::Refused { code: Code::TooMany, .. }) => {}
                     Err(e) => return Err(Denied::Unreachable(e)),
@@ -164,12 +177,26 @@
         self.full.get().is_some_and(|it| it > Instant::now())
     }
 
-    fn take_idle(&self, values: Option<&Values>) -> Option<Conn> {
+    /// Closes the connection that has been idle for the longest, of whichever owner, so that another can be opened;
+    /// false if none is idle.
+    fn make_room(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
+        let oldest = (0..idle.len()).min_by_key(|at| idle[*at].since);
+        if let Some(at) = oldest {
+            idle.remove(at);
+            self.open.set(self.open.get() - 1);
+        }
+        oldest.is_some()
+    }
+
+    fn take_idle(&self, want: &Want) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let fits = |it: &Idle| want.owner.as_ref().is_none_or(|owner| it.conn.owner == *owner);
         loop {
-            let alike =
-                values.and_then(|it| idle.iter().rposition(|idle| idle.conn.values.as_ref() == Some(it)));
-            let at = alike.or_else(|| idle.len().checked_sub(1))?;
+            let alike = want.values.as_ref().and_then(|values| {
+                idle.iter().rposition(|it| fits(it) && it.conn.values.as_ref() == Some(values))
+            });
+            let at = alike.or_else(|| idle.iter().rposition(fits))?;
             let it = idle.remove(at);
             if it.conn.is_alive() {
                 return Some(it.conn);
@@ -178,12 +205,17 @@
         }
     }
 
-    async fn open(self: &Rc<Self>, inst: &Instance, server: &Server) -> Result<Lease, ConnError> {
+    async fn open(
+        self: &Rc<Self>,
+        inst: &Instance,
+        server: &Server,
+        owner: Owner,
+    ) -> Result<Lease, ConnError> {
         // Counted before it is there, so that callers at the same time don't open too many.
         self.open.set(self.open.get() + 1);
         let mut place = Lease { pool: self.clone(), conn: None, returned: false, new: true, pinned: false };
         inst.counters.one(Count::Opened);
-        match Conn::open(inst.edge.dialect.as_ref(), server).await {
+        match Conn::open(inst.edge.dialect.as_ref(), server, owner).await {
             Ok(conn) => {
                 place.conn = Some(conn);
                 Ok(place)
@@ -204,7 +236,8 @@
         {
             let mut waiting = self.waiting.borrow_mut();
             let at = waiting.partition_point(|it| it.priority <= want.priority);
-            waiting.insert(at, Waiter { priority: want.priority, turn });
+            let (priority, owner) = (want.priority, want.owner.clone());
+            waiting.insert(at, Waiter { priority, owner, passed: 0, turn });
         }
         match timeout_at(want.until, got).await {
             Ok(Ok(it)) => Ok(it),
@@ -215,10 +248,31 @@
         }
     }
 
+    /// Whether anybody waits for a connection.
+    fn is_wanted(&self) -> bool {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|it| !it.turn.is_closed());
+        !waiting.is_empty()
+    }
+
     fn next_waiter(&self) -> Option<Waiter> {
         let mut waiting = self.waiting.borrow_mut();
         (!waiting.is_empty()).then(|| waiting.remove(0))
     }
+
+    /// Who gets a connection of an owner: of those of the first one's priority the first that can use it, unless others
+    /// went before the first one too often. None if the first one can't use it.
+    fn next_user(&self, owner: &Owner) -> Option<Waiter> {
+        let mut waiting = self.waiting.borrow_mut();
+        let first = waiting.first()?;
+        let fits = |it: &Waiter| it.owner.as_ref().is_none_or(|it| it == owner);
+        let rivals = if first.passed < PASSED_MOST { waiting.len() } else { 1 };
+        let at = waiting[..rivals].iter().position(|it| it.priority == first.priority && fits(it))?;
+        if at > 0 {
+            waiting[0].passed += 1;
+        }
+        Some(waiting.remove(at))
+    }
 }
 
 /// A connection on loan. Dropped, it is closed.
@@ -267,7 +321,8 @@
         let mut lease = self;
         lease.new = false;
         lease.unpin();
-        while let Some(waiter) = lease.pool.next_waiter() {
+        let Some(owner) = lease.conn.as_ref().map(|it| it.owner.clone()) else { return };
+        while let Some(waiter) = lease.pool.next_user(&owner) {
             match waiter.turn.send(Some(lease)) {
                 Ok(()) => return,
                 // Whoever has stopped waiting hands it back.
@@ -275,6 +330,10 @@
                 Err(None) => return,
             }
         }
+        if lease.pool.is_wanted() {
+            // Closed, it makes room for the first one's.
+            return;
+        }
         if let Some(conn) = lease.conn.take() {
             lease.returned = true;
             lease.pool.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
--- a/crates/engine/src/ports.rs
+++ b/crates/engine/src/ports.rs
@@ -4,7 +4,10 @@
 //! choice.
 
 use {
-    crate::model::{Answer, CallerMessage, Desired, Order, Server, Status},
+    crate::{
+        model::{Answer, CallerMessage, Desired, Order, Server, Status},
+        organisation::Owner,
+    },
     bytes::{Bytes, BytesMut},
     futures::future::LocalBoxFuture,
     pondtrack_proto::{Mark, Name},
@@ -63,8 +66,8 @@
     /// Appends the refusal of a session.
     fn refuse(&self, answer: &Answer, out: &mut BytesMut);
 
-    /// Appends the opening of a connection to a server that must have this id.
-    fn open(&self, group: &str, id: &str, out: &mut BytesMut);
+    /// Appends the opening of a connection, for an owner's statements, to a server that must have this id.
+    fn open(&self, group: &str, id: &str, owner: &Owner, out: &mut BytesMut);
 
     /// Appends a caller's statement towards a server.
     fn forward(&self, it: Forward<'_>, out: &mut BytesMut);
@@ -125,7 +128,7 @@
 }
 
 /// What an object in the store holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Record {
     /// The configuration.
     Desired(Desired),
@@ -142,7 +145,7 @@
 }
 
 /// An object in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Object {
     /// Its name.
     pub name: Name,
@@ -153,7 +156,7 @@
 }
 
 /// Objects, complete or changed, as of a revision of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Objects {
     /// The objects.
     pub items: Vec<Object>,
@@ -162,7 +165,7 @@
 }
 
 /// Why a call of the store has no result.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Snafu)]
 #[snafu(module)]
 pub enum StoreError {
     /// It provably did nothing.
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -11,6 +11,7 @@
         link::{Halves, Reader, STREAM_SILENCE, halves},
         message::{Ask, Message, Run, Sent, ServerRun, Told, TurnWish},
         model::{Order, Status, TxnState},
+        organisation::Owner,
         pool::Want,
         ports::{Forward, Text},
         session::Prepared,
@@ -105,6 +106,8 @@
             Ask::Run(it) => self.run(*it).await,
             Ask::Turn(it) => return self.grant(id, it).await,
             Ask::Fetch(it) => handout::answer(inst, it).await,
+            Ask::Lend(it) => inst.limit.lent(inst, &it),
+            Ask::Claim(it) => inst.limit.claimed(inst, &it),
             Ask::Order { server, order } => order_server(inst, &server, &order).await,
         };
         self.tell(id, told);
@@ -174,7 +177,7 @@
             (true, None) => return Told::Broken("the transaction is gone".to_owned()),
             (false, _) => {
                 let until = (now + Duration::from_millis(it.wait_ms.into())).min(end);
-                match reach(inst, &up, rank, it.slow, until).await {
+                match reach(inst, &up, it.owner, rank, it.slow, until).await {
                     Ok(it) => Channel::Direct(it),
                     Err(told) => return told,
                 }
@@ -223,6 +226,7 @@
 async fn reach(
     inst: &Rc<Instance>,
     up: &Rc<Upstream>,
+    owner: Owner,
     rank: Option<Rank>,
     slow: Micros,
     until: Instant,
@@ -234,7 +238,8 @@
     if up.pool.is_pinned() {
         return Err(Told::Busy);
     }
-    let want = Want { priority: rank.map_or(0, |it| it.priority), until, values: None };
+    let priority = rank.map_or(0, |it| it.priority);
+    let want = Want { priority, until, values: None, owner: Some(owner) };
     Direct::reach(inst, up, rank, slow, want).await.map_err(|e| match e {
         NoWay::Refused => Told::Refused,
         NoWay::Late(_) | NoWay::Full => Told::Busy,
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -5,7 +5,8 @@
         conn::Values,
         count::Count,
         instance::{Instance, Micros, accept_all},
-        model::{Access, Answer, CallerMessage, Code, Statement, TxnState, Verb},
+        model::{Access, Answer, CallerMessage, Code, Route, Statement, TxnState, Verb},
+        organisation::{CallerKey, KeyHash, Owner},
         settings::{ROTATION_LIMIT, SESSION_NAMES},
         statement::{self, Work},
         txn::Txn,
@@ -54,6 +55,8 @@
     pub inst: Rc<Instance>,
     /// The database it asked for.
     pub database: Name,
+    /// The key that it was opened with: whose it is may change with each configuration.
+    pub key: KeyHash,
     /// Its session values.
     pub values: Values,
     /// Its named statements, sorted by name.
@@ -137,26 +140,18 @@
             Ok(it) => it?,
             Err(_) => return Ok(None),
         };
-        let refusal = match (message, self.inst.desired()) {
-            (Some(CallerMessage::Open { database, .. }), Some(desired)) => {
-                if desired.route(&database).is_some() {
+        let refusal = match message {
+            Some(CallerMessage::Open { database, key }) => match self.admit(&database, &key) {
+                Ok(key) => {
                     self.out.clear();
                     self.inst.edge.dialect.welcome(&mut self.out);
                     self.flush().await?;
-                    return Ok(Some(Session::new(self.inst.clone(), database)));
+                    return Ok(Some(Session::new(self.inst.clone(), database, key)));
                 }
-                if self.inst.may_log() {
-                    log::info!(database = database.as_str(), version = desired.version; "no such database");
-                }
-                Answer::error(Code::NoDatabase, "no such database", TxnState::Idle)
-            }
-            (Some(CallerMessage::Open { .. }), None) => {
-                statement::busy("no configuration yet", TxnState::Idle)
-            }
-            (Some(_), _) => {
-                Answer::error(Code::Malformed, "a session begins with its database", TxnState::Idle)
-            }
-            (None, _) => return Ok(None),
+                Err(it) => it,
+            },
+            Some(_) => Answer::error(Code::Malformed, "a session begins with its database", TxnState::Idle),
+            None => return Ok(None),
         };
         self.out.clear();
         self.inst.edge.dialect.refuse(&refusal, &mut self.out);
@@ -164,6 +159,29 @@
         Ok(None)
     }
 
+    /// Whether a caller may open a session, and with which key; else what it is told.
+    fn admit(&self, database: &Name, key: &CallerKey) -> Result<KeyHash, Answer> {
+        let Some(desired) = self.inst.desired() else {
+            return Err(statement::busy("no configuration yet", TxnState::Idle));
+        };
+        let version = desired.version;
+        let Some(route) = desired.route(database) else {
+            if self.inst.may_log() {
+                log::info!(database = database.as_str(), version; "no such database");
+            }
+            return Err(Answer::error(Code::NoDatabase, "no such database", TxnState::Idle));
+        };
+        let key = key.hash();
+        if desired.owner(&key, route).is_none() {
+            self.inst.counters.one(Count::Denied);
+            if self.inst.may_log() {
+                log::info!(database = database.as_str(), version; "the caller's key is nobody's");
+            }
+            return Err(denied());
+        }
+        Ok(key)
+    }
+
     async fn next(&mut self, open: bool) -> io::Result<Next> {
         let inst = self.inst.clone();
         let idle = inst.desired().map(|it| it.txn_idle).filter(|_| open);
@@ -232,10 +250,11 @@
 }
 
 impl Session {
-    fn new(inst: Rc<Instance>, database: Name) -> Session {
+    fn new(inst: Rc<Instance>, database: Name, key: KeyHash) -> Session {
         Session {
             inst,
             database,
+            key,
             values: Values::default(),
             prepared: Vec::new(),
             mark: None,
@@ -258,6 +277,9 @@
         if self.txn.state() == TxnState::Failed && !matches!(it.verb, Verb::Rollback | Verb::Commit) {
             return Answer::error(Code::Malformed, "the transaction has failed", TxnState::Failed);
         }
+        if self.txn.owner().is_some_and(|it| self.owner().as_ref() != Some(it)) {
+            self.txn.lose("its caller's key is another's, or nobody's");
+        }
         if self.inst.desired().is_some_and(|desired| it.text.len() > desired.message_bytes) {
             return Answer::error(Code::TooLarge, "larger than the configuration allows", self.txn.state());
         }
@@ -285,9 +307,17 @@
         if self.txn.is_lost() {
             return self.txn.report_lost();
         }
-        let Some(work) = self.work(it, named, arrived) else { return self.no_database() };
+        let work = match self.work(it, named, arrived) {
+            Ok(it) => it,
+            Err(answer) => return answer,
+        };
+        if self.txn.is_open() {
+            return work.in_transaction(self, access).await;
+        }
+        if let Err(left) = self.inst.limit.admit(&self.inst, &work.owner).await {
+            return over_limit(left);
+        }
         match access {
-            _ if self.txn.is_open() => work.in_transaction(self, access).await,
             Access::Read => work.read(self).await,
             Access::Write => work.write(self).await,
         }
@@ -298,7 +328,13 @@
         match (&it.verb, self.txn.is_open()) {
             (Verb::Begin(access), false) => {
                 self.txn = Txn::None;
-                let Some(work) = self.work(it, None, arrived) else { return self.no_database() };
+                let work = match self.work(it, None, arrived) {
+                    Ok(it) => it,
+                    Err(answer) => return answer,
+                };
+                if let Err(left) = self.inst.limit.admit(&self.inst, &work.owner).await {
+                    return over_limit(left);
+                }
                 work.begin(self, *access).await
             }
             (Verb::Begin(_), true) => {
@@ -309,29 +345,46 @@
                 self.txn = Txn::None;
                 Answer::done(TxnState::Idle)
             }
-            (_, true) => {
-                let Some(work) = self.work(it, None, arrived) else {
-                    self.txn.rollback().await;
-                    return self.no_database();
-                };
-                work.commit(self).await
-            }
+            (_, true) => match self.work(it, None, arrived) {
+                Ok(work) => work.commit(self).await,
+                Err(answer) => {
+                    self.txn.abandon().await;
+                    answer
+                }
+            },
             (_, false) if self.txn.is_lost() => self.txn.report_lost(),
             (_, false) => Answer::error(Code::Malformed, "no transaction is open", TxnState::Idle),
         }
     }
 
-    fn work<'a>(&self, it: &'a Statement, named: Option<Prepared>, arrived: Instant) -> Option<Work<'a>> {
-        let route = match self.txn.route() {
-            // A changed route applies from the next transaction on.
-            Some(it) => it,
-            None => Rc::new(self.inst.desired()?.route(&self.database)?.clone()),
+    /// A statement on its way, or what its caller is told instead.
+    fn work<'a>(
+        &self,
+        it: &'a Statement,
+        named: Option<Prepared>,
+        arrived: Instant,
+    ) -> Result<Work<'a>, Answer> {
+        let route = self
+            .route()
+            .ok_or_else(|| Answer::error(Code::NoDatabase, "the database was removed", TxnState::Idle))?;
+        let Some(owner) = self.owner() else {
+            self.inst.counters.one(Count::Denied);
+            return Err(denied());
         };
-        Some(Work::new(self.inst.clone(), route, it, named, arrived))
+        Ok(Work::new(self.inst.clone(), route, owner, it, named, arrived))
+    }
+
+    /// How its database is served; a changed route applies from the next transaction on.
+    fn route(&self) -> Option<Rc<Route>> {
+        match self.txn.route() {
+            Some(it) => Some(it),
+            None => Some(Rc::new(self.inst.desired()?.route(&self.database)?.clone())),
+        }
     }
 
-    fn no_database(&self) -> Answer {
-        Answer::error(Code::NoDatabase, "the database was removed", TxnState::Idle)
+    /// Whose its statements are now; none where its key allows none.
+    fn owner(&self) -> Option<Owner> {
+        self.inst.desired()?.owner(&self.key, &*self.route()?)
     }
 
     fn set(&mut self, name: &Name, value: &Name) -> Answer {
@@ -392,6 +445,18 @@
     }
 }
 
+/// What a caller is told whose key is nobody's.
+fn denied() -> Answer {
+    Answer::error(Code::NoAuth, "the key is nobody's", TxnState::Idle)
+}
+
+/// What a caller is told whose organisation has used its quota.
+fn over_limit(left: Duration) -> Answer {
+    let ms = left.as_millis().max(1);
+    let why = format!("the organisation has used its quota; come back in {ms} ms");
+    Answer::error(Code::Busy, text(why), TxnState::Idle)
+}
+
 fn alias(access: Access, shape: &Name) -> Name {
     let access: &'static str = access.into();
     let text = format!("{access} {shape}");
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -25,6 +25,8 @@
     pub drain: Duration,
     /// In which a changed configuration has to be in force.
     pub apply: Duration,
+    /// Operations that an organisation may run above its quota, in the span over which that is judged.
+    pub quota_margin: u32,
 }
 
 /// Time for a connection to a server to open. A server takes 12 ms, a crossing of zones under 3 ms; the
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -8,6 +8,7 @@
         group::Group,
         instance::{Instance, Micros, micros},
         model::{Answer, Code, ReadPolicy, Route, Statement, TxnState, Verb},
+        organisation::Owner,
         pool::Want,
         ports::{Forward, Text},
         session::{Prepared, Session, text},
@@ -30,6 +31,8 @@
     pub route: Rc<Route>,
     /// The statement.
     pub it: &'a Statement,
+    /// Whose it is.
+    pub owner: Owner,
     /// The named statement that it runs.
     pub named: Option<Prepared>,
     /// When it arrived.
@@ -150,13 +153,14 @@
     pub fn new(
         inst: Rc<Instance>,
         route: Rc<Route>,
+        owner: Owner,
         it: &'a Statement,
         named: Option<Prepared>,
         arrived: Instant,
     ) -> Work<'a> {
         let since = inst.now();
         let end = arrived + route.timeout;
-        Work { inst, route, it, named, arrived, since, end }
+        Work { inst, route, it, owner, named, arrived, since, end }
     }
 
     /// What the read has to show.
@@ -184,7 +188,12 @@
         {
             return Ok(it);
         }
-        let want = Want { priority: self.route.priority, until, values: Some(session.values.clone()) };
+        let want = Want {
+            priority: self.route.priority,
+            until,
+            values: Some(session.values.clone()),
+            owner: Some(self.owner.clone()),
+        };
         match Direct::reach(&self.inst, up, Some(self.rank_at(up)), self.slow(), want).await {
             Ok(it) => Ok(Channel::Direct(it)),
             Err(NoWay::Refused) => Err(Miss::Late(NO_TIME)),
@@ -202,7 +211,7 @@
     }
 
     async fn relay(&self, up: &Upstream, until: Instant) -> Result<Channel, Miss> {
-        let found = up.relay(&self.inst, until).await;
+        let found = up.relay(&self.inst, &self.owner, until).await;
         found.map(Channel::Relayed).ok_or(Miss::Again)
     }
 
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -7,6 +7,7 @@
         group::Group,
         instance::{Instance, Micros},
         model::{Access, Answer, Code, Order, ReadPolicy, Route, TxnState},
+        organisation::Owner,
         session::{Session, text},
         settings::{ORDER_LIMIT, RETRY_PAUSE, TRIES},
         statement::{Miss, NO_TIME, UNCONFIRMED, Work, busy, unknown},
@@ -33,6 +34,7 @@
     group: Rc<Group>,
     up: Rc<Upstream>,
     route: Rc<Route>,
+    owner: Owner,
     channel: Channel,
     state: TxnState,
     wrote: bool,
@@ -66,6 +68,14 @@
         }
     }
 
+    /// Whose it is, while it is open.
+    pub fn owner(&self) -> Option<&Owner> {
+        match self {
+            Txn::Open(it) => Some(&it.owner),
+            Txn::None | Txn::Lost(_) => None,
+        }
+    }
+
     /// Gives it up; the closed connection rolls it back.
     pub fn lose(&mut self, why: &'static str) {
         *self = Txn::Lost(why);
@@ -186,7 +196,16 @@
         }
         channel.pin();
         let (inst, group, route) = (self.inst.clone(), group.clone(), self.route.clone());
-        Ok(OpenTxn { inst, group, up, route, channel, state: TxnState::Open, wrote: false })
+        Ok(OpenTxn {
+            inst,
+            group,
+            up,
+            route,
+            owner: self.owner.clone(),
+            channel,
+            state: TxnState::Open,
+            wrote: false,
+        })
     }
 
     /// Runs a statement of an open transaction.
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -7,6 +7,7 @@
         group::Group,
         instance::{Clock, Instance, Micros, micros},
         model::{Answer, Code, Order, Server, Status},
+        organisation::Owner,
         peer::Peer,
         pool::Pool,
         settings::{
@@ -417,13 +418,13 @@
         unfit.push(Unfit { name: peer.clone(), until: now + micros(pause), full });
     }
 
-    /// A way through another instance.
-    pub async fn relay(&self, inst: &Rc<Instance>, until: Instant) -> Option<Relayed> {
+    /// A way through another instance, for an owner's statements.
+    pub async fn relay(&self, inst: &Rc<Instance>, owner: &Owner, until: Instant) -> Option<Relayed> {
         for _ in 0..RELAYS {
             let peer = self.fit_peer(inst)?;
             if let Some(link) = peer.link(inst).await {
                 let server = self.entry().as_ref().into();
-                return Some(Relayed::new(peer.name.clone(), link, server, until));
+                return Some(Relayed::new(peer.name.clone(), link, server, owner.clone(), until));
             }
         }
         None
--- a/crates/pondtrackd/src/hosted.rs
+++ b/crates/pondtrackd/src/hosted.rs
@@ -7,7 +7,7 @@
     pondtrack_engine::{
         feed,
         instance::Instance,
-        lease,
+        lease, limit,
         ports::{Collection, Edge},
         relay, report, session, settings, spread, takeover,
     },
@@ -126,6 +126,7 @@
     tokio::task::spawn_local(feed::sweep(inst.clone()));
     tokio::task::spawn_local(spread::run(inst.clone()));
     tokio::task::spawn_local(spread::join(inst.clone(), boot.seeds.clone()));
+    tokio::task::spawn_local(limit::run(inst.clone()));
     tokio::task::spawn_local(report::run(inst.clone()));
     tokio::task::spawn_local(takeover::watch(inst.clone()));
     let lease = tokio::task::spawn_local(lease::keep(inst.clone()));
--- a/crates/pondtrackd/src/reload.rs
+++ b/crates/pondtrackd/src/reload.rs
@@ -19,7 +19,8 @@
 
 /// The times that a settings file names.
 pub fn bounds(boot: &Boot) -> Bounds {
-    Bounds { grace: boot.bounds.grace, drain: boot.bounds.drain, apply: boot.bounds.apply }
+    let it = &boot.bounds;
+    Bounds { grace: it.grace, drain: it.drain, apply: it.apply, quota_margin: it.quota_margin }
 }
 
 /// Takes changed settings in, for good.
