Organisations: one home of a server for each, strict keys

Change: all instances go to the same home of a server for an organisation, by hashing.

Where StrictRevoke is true an instance takes keys only while it knows that its configuration is, or was at most RevokeMs ago, the newest: from its own watch, or from a limiter's word with its age.

--- a/crates/engine/src/ask.rs
+++ b/crates/engine/src/ask.rs
@@ -7,6 +7,7 @@
         instance::{Instance, micros},
         message::{Ask, Told},
         model::{Order, Status},
+        organisation::Owner,
         pool::{Denied, Want},
         settings::{ASK_WAIT, ORDER_LIMIT, PRIMARY_PAUSE, RELAY_AFTER, RELAYS},
         upstream::Upstream,
@@ -68,7 +69,7 @@
 async fn give_through(inst: &Rc<Instance>, group: &Group, it: &Upstream, order: &Order) -> Option<Status> {
     let began = inst.now();
     for _ in 0..RELAYS {
-        let Some(peer) = it.fit_peer(inst) else { break };
+        let Some(peer) = it.fit_peer(inst, &Owner::Shared) else { break };
         let sent = inst.now();
         it.asked.set(sent);
         let ask = Ask::Order { server: it.entry().as_ref().into(), order: order.clone() };
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -53,6 +53,7 @@
             sleep(IDLE).await;
             continue;
         }
+        let asked = inst.now();
         let got = match since {
             None => inst.edge.store.list(what, false).await,
             Some(at) => inst.edge.store.watch(what, at, WATCH).await,
@@ -66,6 +67,9 @@
                 }
                 let as_of = it.as_of;
                 take(&inst, what, it, since.is_none());
+                if what == Collection::Desired {
+                    inst.confirm_desired(asked);
+                }
                 since = Some(as_of);
             }
             Err(StoreError::Compacted) => since = None,
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -117,6 +117,8 @@
     pub history: History,
     /// What is being handed to other instances.
     pub handout: Handout,
+    /// When the configuration was last known to be the newest one.
+    confirmed: Cell<Micros>,
     leaving: Cell<Option<Instant>>,
     /// The clock.
     pub clock: Clock,
@@ -153,6 +155,7 @@
             spread: Spread::default(),
             history: History::default(),
             handout: Handout::default(),
+            confirmed: Cell::default(),
             leaving: Cell::default(),
             clock,
             costs: RefCell::default(),
@@ -214,6 +217,23 @@
         self.desired.borrow().clone()
     }
 
+    /// The configuration in force, or a later one, was the newest at this time.
+    pub fn confirm_desired(&self, at: Micros) {
+        self.confirmed.set(self.confirmed.get().max(at));
+    }
+
+    /// How long ago it is known to have been the newest; none if it never was.
+    pub fn unconfirmed(&self) -> Option<Micros> {
+        let at = Some(self.confirmed.get()).filter(|it| *it > 0)?;
+        Some(self.now().saturating_sub(at))
+    }
+
+    /// Whether keys may be taken at the configuration's word.
+    pub fn trusts_keys(&self) -> bool {
+        let limit = self.bounds.get().revoke;
+        limit.is_none_or(|limit| self.unconfirmed().is_some_and(|it| it < micros(limit)))
+    }
+
     /// Takes a configuration in if it is newer.
     pub fn adopt(&self, it: Desired, revision: u64) {
         let known = self.desired();
--- a/crates/engine/src/limit.rs
+++ b/crates/engine/src/limit.rs
@@ -202,7 +202,9 @@
         let slots = if leaving { Slots::default() } else { it.slots };
         let mut limiter = self.limiter.borrow_mut();
         let slots = limiter.lent(&it.from, it.seq, slots, it.share, it.since, now);
-        Told::Lent { slots, stamp: limiter.stamp(now), leaving }
+        let version = inst.desired().map(|it| it.version);
+        let age = inst.unconfirmed().map(|it| (it / 1_000) as u32);
+        Told::Lent { slots, stamp: limiter.stamp(now), leaving, confirmed: version.zip(age) }
     }
 
     /// Answers another instance that has operations to run.
@@ -366,10 +368,11 @@
     for _ in 0..2 {
         let Some(peer) = inst.peer(&to) else { break };
         let lending = limit.lending(&inst, &to);
-        let sent = lending.slots;
+        let (sent, asked) = (lending.slots, inst.now());
         match timeout(LIMIT, peer.ask(&inst, Ask::Lend(lending))).await {
-            Ok(Told::Lent { slots, stamp, leaving }) => {
+            Ok(Told::Lent { slots, stamp, leaving, confirmed }) => {
                 limit.answered.set(inst.now());
+                hear(&inst, confirmed, asked);
                 let again = limit.took(&to, sent, slots, stamp);
                 if leaving {
                     limit.set_unfit(&to, inst.now());
@@ -389,6 +392,16 @@
     limit.asked.borrow_mut().retain(|it| *it != to);
 }
 
+/// Another instance has told, after it was asked, how long ago its configuration was the newest.
+fn hear(inst: &Instance, confirmed: Option<(u64, u32)>, asked: Micros) {
+    let known = inst.desired().map_or(0, |it| it.version);
+    if let Some((version, age_ms)) = confirmed
+        && version <= known
+    {
+        inst.confirm_desired(asked.saturating_sub(u64::from(age_ms) * 1_000));
+    }
+}
+
 /// Asks a limiter for operations as long as any wait for it.
 async fn claim(inst: Rc<Instance>, limiter: Name) {
     let limit = &inst.limit;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -279,6 +279,9 @@
         stamp: Stamp,
         /// Whether the instance leaves, so that others should be asked.
         leaving: bool,
+        /// The version of the configuration there, and how long ago that is known to have been the newest, in
+        /// milliseconds.
+        confirmed: Option<(u64, u32)>,
     },
     /// What becomes of each claim.
     Granted(Vec<Grant>),
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -171,6 +171,9 @@
             }
             return Err(Answer::error(Code::NoDatabase, "no such database", TxnState::Idle));
         };
+        if !self.inst.trusts_keys() {
+            return Err(untrusted());
+        }
         let key = key.hash();
         if desired.owner(&key, route).is_none() {
             self.inst.counters.one(Count::Denied);
@@ -277,8 +280,9 @@
         if self.txn.state() == TxnState::Failed && !matches!(it.verb, Verb::Rollback | Verb::Commit) {
             return Answer::error(Code::Malformed, "the transaction has failed", TxnState::Failed);
         }
-        if self.txn.owner().is_some_and(|it| self.owner().as_ref() != Some(it)) {
-            self.txn.lose("its caller's key is another's, or nobody's");
+        let is_owner = |it: &Owner| self.owner().as_ref() == Some(it) && self.inst.trusts_keys();
+        if self.txn.owner().is_some_and(|it| !is_owner(it)) {
+            self.txn.lose("its caller's key is another's or nobody's, or may be by now");
         }
         if self.inst.desired().is_some_and(|desired| it.text.len() > desired.message_bytes) {
             return Answer::error(Code::TooLarge, "larger than the configuration allows", self.txn.state());
@@ -367,6 +371,9 @@
         let route = self
             .route()
             .ok_or_else(|| Answer::error(Code::NoDatabase, "the database was removed", TxnState::Idle))?;
+        if !self.inst.trusts_keys() {
+            return Err(untrusted());
+        }
         let Some(owner) = self.owner() else {
             self.inst.counters.one(Count::Denied);
             return Err(denied());
@@ -442,7 +449,8 @@
         };
         let took_ms = arrived.elapsed().as_millis() as u64;
         let owner = self.owner().map_or_else(|| "nobody".to_owned(), |it| it.to_string());
-        log::info!(request = &*id, database = self.database.as_str(), owner, code:% = code, took_ms; "no result: {why}");
+        let (database, owner) = (self.database.as_str(), owner.as_str());
+        log::info!(request = &*id, database, owner, code:% = code, took_ms; "no result: {why}");
     }
 }
 
@@ -451,6 +459,11 @@
     Answer::error(Code::NoAuth, "the key is nobody's", TxnState::Idle)
 }
 
+/// What a caller is told where its key may have been taken away.
+fn untrusted() -> Answer {
+    statement::busy("whether the key is still good isn't known", TxnState::Idle)
+}
+
 /// What a caller is told whose organisation has used its quota.
 fn over_limit(left: Duration) -> Answer {
     let ms = left.as_millis().max(1);
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -25,6 +25,9 @@
     pub drain: Duration,
     /// In which a changed configuration has to be in force.
     pub apply: Duration,
+    /// An instance that doesn't know that its configuration is, or was this long ago, the newest one refuses whoever
+    /// shows a key: it may have been taken away. None where the configuration in force goes on being good.
+    pub revoke: Option<Duration>,
     /// Operations that an organisation may run above its quota, in the span over which that is judged.
     pub quota_margin: u32,
 }
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -18,11 +18,13 @@
     },
     pondtrack_core::{
         balance::{Average, Lag, Pace},
+        place,
         recovery::Recovery,
     },
     pondtrack_proto::Name,
     std::{
         cell::{Cell, RefCell},
+        cmp::Reverse,
         rc::Rc,
         time::Duration,
     },
@@ -389,13 +391,20 @@
     }
 
     /// Another instance to go through: one that has a share of its connections, or a substitute where none of
-    /// these can be reached. One that has only too much to do isn't replaced.
-    pub(crate) fn fit_peer(&self, inst: &Instance) -> Option<Rc<Peer>> {
+    /// these can be reached. One that has only too much to do isn't replaced. All instances go to the same one for
+    /// an organisation, so that its connections are used again instead of being replaced by another's.
+    pub(crate) fn fit_peer(&self, inst: &Instance, owner: &Owner) -> Option<Rc<Peer>> {
         inst.place(self);
         let now = inst.now();
-        let (unfit, ranked, homes) = (self.unfit.borrow(), self.ranked.borrow(), self.homes.get());
+        let (unfit, homes) = (self.unfit.borrow(), self.homes.get());
+        let mut ranked = self.ranked.borrow().clone();
+        ranked.truncate(homes + SUBSTITUTES);
+        if let Owner::Organisation(owner) = owner {
+            let n = homes.min(ranked.len());
+            ranked[..n].sort_by_key(|it| Reverse(place::weight(owner, it)));
+        }
         let mut full = false;
-        for (at, name) in ranked.iter().enumerate().take(homes + SUBSTITUTES) {
+        for (at, name) in ranked.iter().enumerate() {
             match unfit.iter().find(|it| it.name == *name && it.until > now) {
                 Some(it) => full |= it.full,
                 None if at >= homes && full => return None,
@@ -421,7 +430,7 @@
     /// A way through another instance, for an owner's statements.
     pub async fn relay(&self, inst: &Rc<Instance>, owner: &Owner, until: Instant) -> Option<Relayed> {
         for _ in 0..RELAYS {
-            let peer = self.fit_peer(inst)?;
+            let peer = self.fit_peer(inst, owner)?;
             if let Some(link) = peer.link(inst).await {
                 let server = self.entry().as_ref().into();
                 return Some(Relayed::new(peer.name.clone(), link, server, owner.clone(), until));
--- a/crates/pondtrackd/src/reload.rs
+++ b/crates/pondtrackd/src/reload.rs
@@ -20,7 +20,8 @@
 /// The times that a settings file names.
 pub fn bounds(boot: &Boot) -> Bounds {
     let it = &boot.bounds;
-    Bounds { grace: it.grace, drain: it.drain, apply: it.apply, quota_margin: it.quota_margin }
+    let revoke = it.strict_revoke.then_some(it.revoke);
+    Bounds { grace: it.grace, drain: it.drain, apply: it.apply, revoke, quota_margin: it.quota_margin }
 }
 
 /// Takes changed settings in, for good.
