Store: a state is an era and a revision; the lease after the store came back from an older copy

Cause (by reading): the store may come back seconds older. A reading with a lower revision was dropped as old, for good; a conditional write could meet another object under a revision that was given out again; the lease's token could be given out twice or go down; an absent record of who led could be taken for proof; entries that the copy lacked were taken as gone. Ruled out: comparing wall clocks; keeping the lease outside of the store (a second replicated store). Change: one type holds era and number, read at the edge from every answer, refusals too; a header that is no number makes the answer unusable. The lease's rules are in core now, without I/O: nobody acts under what was granted in an earlier era; the era's record of before is nobody's, taken after the same wait as any other, but for the holder itself, which waits for its own orders; tokens hold the era in their upper half; an absent record proves something only where nothing was ever lost. Watches begin anew; entries of instances are written again and count meanwhile; those of servers have their usual 2.5 s.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`switch`] | fencing a majority and promoting one server |
 //! | [`grant`] | terms taken ahead of need |
 //! | [`leader`] | who leads a term whose primary gives no answer |
+//! | [`lease`] | which instance may give orders |
 //! | [`claim`] | whether a primary holds what its replicas have received |
 //! | [`recovery`] | what a server counts for that came back with nothing |
 //! | [`detect`] | when a primary is given up |
@@ -51,6 +52,7 @@
 pub mod grant;
 pub mod journal;
 pub mod leader;
+pub mod lease;
 pub mod life;
 pub mod member;
 pub mod place;
--- a/crates/engine/src/count.rs
+++ b/crates/engine/src/count.rs
@@ -47,6 +47,8 @@
     StoreCalls,
     /// Calls of the store without a result.
     StoreFailures,
+    /// Returns of the store from an older copy.
+    StoreReturns,
     /// Promotions ordered.
     Promotions,
     /// Fetches of the configuration, the directory or the members from other instances.
--- a/crates/engine/src/document.rs
+++ b/crates/engine/src/document.rs
@@ -14,7 +14,7 @@
         ports::Collection,
     },
     pondtrack_core::delta::{ChangeLog, Delta, touched},
-    pondtrack_proto::Name,
+    pondtrack_proto::{Name, Revision},
     serde::{Deserialize, Serialize},
     snafu::Snafu,
     std::{
@@ -35,7 +35,7 @@
         /// The store's revision that it starts from; 0 for the whole.
         since: u64,
         /// The store's revision that it leads to.
-        revision: u64,
+        revision: Revision,
         /// The servers.
         servers: Delta<Server>,
         /// Tells apart what it leads to.
@@ -53,7 +53,7 @@
     /// The version that it leads to.
     pub version: u64,
     /// The store's revision of that.
-    pub revision: u64,
+    pub revision: Revision,
     /// Routes.
     pub routes: Delta<Route>,
     /// Groups.
@@ -131,7 +131,7 @@
     pub fn latest(inst: &Instance, what: Collection) -> Option<u64> {
         match what {
             Collection::Desired => inst.desired().map(|it| it.version),
-            Collection::Servers => inst.revision(what),
+            Collection::Servers => inst.revision(what).map(Revision::order),
             Collection::Instances => inst.members().map(|it| members_digest(&it)),
             Collection::Leases | Collection::Leaders => None,
         }
@@ -166,7 +166,7 @@
             Document::Desired(it) => take_desired(inst, *it),
             Document::Directory { since, revision, servers, digest } => {
                 let known = Document::known(inst, Collection::Servers);
-                if known >= revision && inst.revision(Collection::Servers).is_some() {
+                if known >= revision.order() && inst.revision(Collection::Servers).is_some() {
                     return Ok(());
                 }
                 let old = base(since, known, || inst.directory())?;
@@ -222,10 +222,10 @@
 }
 
 fn directory(inst: &Instance, since: u64) -> Option<Document> {
-    let revision = inst.revision(Collection::Servers).filter(|it| *it > since)?;
+    let revision = inst.revision(Collection::Servers).filter(|it| it.order() > since)?;
     let keys = (since > 0).then(|| inst.history.servers.borrow().since(since)).flatten();
     inst.with_directory(|all| {
-        let digest = kept(&inst.history.directory_digest, revision, || digest_of(&all));
+        let digest = kept(&inst.history.directory_digest, revision.order(), || digest_of(&all));
         let (since, servers) = match keys {
             Some(keys) => (since, Delta::of_keys(keys, all, server)),
             None => (0, Delta::whole(all)),
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -10,7 +10,7 @@
         ports::{Collection, InstanceRecord, Object, Objects, Record, StoreError},
         settings::GONE_AFTER,
     },
-    pondtrack_proto::Name,
+    pondtrack_proto::{Name, Revision},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep},
 };
@@ -39,6 +39,9 @@
 const FIRST_LOOK: Duration = Duration::from_millis(1_000);
 /// How many looks of this kind there are.
 const FIRST_LOOKS: u64 = 3;
+/// After the store came back from an older copy, instances whose entries it lacks count for as long as this: they write them
+/// again within a look of theirs.
+const REWRITE: Duration = Duration::from_millis(6_000);
 /// Looks without a change after which an instance doesn't count: two missed heartbeats and some room.
 const MISSED: u64 = 24;
 
@@ -46,7 +49,7 @@
 pub async fn follow(inst: Rc<Instance>, what: Collection) {
     let mut failures = 0;
     // The revision after which changes are wanted; none when everything has to be read.
-    let mut since = None;
+    let mut since: Option<Revision> = None;
     loop {
         if !inst.spread.must_watch(&inst) {
             since = None;
@@ -66,6 +69,11 @@
                     log::info!(collection:% = what; "store regained");
                 }
                 let as_of = it.as_of;
+                if since.is_some_and(|it| it.era() < as_of.era()) {
+                    // It came back from an older copy: what was undone by that is no change since then.
+                    since = None;
+                    continue;
+                }
                 take(&inst, what, it, since.is_none());
                 if what == Collection::Desired {
                     inst.confirm_desired(asked);
@@ -160,15 +168,25 @@
 /// store. Else those that watch tell.
 pub async fn enlist(inst: Rc<Instance>) {
     let mut entry = Entry { revision: None, written: None };
-    let mut known: Vec<(Name, u64, u64)> = Vec::new();
+    let mut known: Vec<(Name, Revision, u64)> = Vec::new();
     let mut look = 0;
+    let mut era = (None, 0);
     loop {
         entry.keep(&inst).await;
+        if inst.era() > era.0 {
+            era = (inst.era(), inst.now());
+        }
         if look < FIRST_LOOKS || inst.spread.must_watch(&inst) {
             look += 1;
             inst.counters.one(Count::StoreCalls);
             match inst.edge.store.list(Collection::Instances, true).await {
-                Ok(it) => inst.set_peers(live(&mut known, &it.items, look)),
+                Ok(it) => {
+                    let mut peers = live(&mut known, &it.items, look);
+                    if inst.now() - era.1 < micros(REWRITE) {
+                        keep_others(&inst, &mut peers);
+                    }
+                    inst.set_peers(peers);
+                }
                 Err(e) => log::debug!("instances: {e}"),
             }
         }
@@ -179,14 +197,16 @@
 
 /// This instance's own entry.
 struct Entry {
-    revision: Option<u64>,
+    revision: Option<Revision>,
     written: Option<Instant>,
 }
 
 impl Entry {
     /// Writes the entry if a heartbeat is due.
     async fn keep(&mut self, inst: &Instance) {
-        if self.written.is_some_and(|at| at.elapsed() < HEARTBEAT) {
+        // Where the store came back from an older copy, it may not be there any longer.
+        let known = self.revision.is_some_and(|it| inst.era().is_none_or(|era| era <= it.era()));
+        if known && self.written.is_some_and(|at| at.elapsed() < HEARTBEAT) {
             return;
         }
         // Once more if an earlier process of the same name has left an entry.
@@ -218,13 +238,22 @@
     }
 }
 
+/// Adds the instances that are known already.
+fn keep_others(inst: &Instance, peers: &mut Vec<Peer>) {
+    for it in inst.peers().into_iter().flatten() {
+        if let Err(at) = peers.binary_search_by(|peer| peer.name.cmp(&it.name)) {
+            peers.insert(at, Peer::new(it.name.clone(), it.zone.clone(), it.addr));
+        }
+    }
+}
+
 /// The instances whose entries changed lately; `known` holds names, revisions and when they were new.
-fn live(known: &mut Vec<(Name, u64, u64)>, items: &[Object], look: u64) -> Vec<Peer> {
+fn live(known: &mut Vec<(Name, Revision, u64)>, items: &[Object], look: u64) -> Vec<Peer> {
     known.retain(|it| items.iter().any(|item| item.name == it.0));
     let mut peers = Vec::new();
     for item in items {
         let at = known.binary_search_by(|it| it.0.cmp(&item.name)).unwrap_or_else(|at| {
-            known.insert(at, (item.name.clone(), 0, look));
+            known.insert(at, (item.name.clone(), Revision::default(), look));
             at
         });
         if known[at].1 != item.revision {
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -22,7 +22,7 @@
         balance::{Average, Averages},
         place,
     },
-    pondtrack_proto::Name,
+    pondtrack_proto::{Name, Revision},
     rand::{RngExt, SeedableRng},
     rand_pcg::Pcg64Mcg,
     std::{
@@ -110,7 +110,9 @@
     /// Objects of the store that can't be read.
     pub unreadable: RefCell<Unreadable>,
     /// The store's revisions at which the configuration and the directory were last known to have changed.
-    revisions: Cell<(Option<u64>, Option<u64>)>,
+    revisions: Cell<(Option<Revision>, Option<Revision>)>,
+    /// The latest era of the store that other instances told.
+    told_era: Cell<Option<u64>>,
     /// How the configuration and the directory come here.
     pub spread: Spread,
     /// Which items of them changed when.
@@ -152,6 +154,7 @@
             directory: RefCell::default(),
             unreadable: RefCell::default(),
             revisions: Cell::default(),
+            told_era: Cell::default(),
             spread: Spread::default(),
             history: History::default(),
             handout: Handout::default(),
@@ -235,7 +238,7 @@
     }
 
     /// Takes a configuration in if it is newer.
-    pub fn adopt(&self, it: Desired, revision: u64) {
+    pub fn adopt(&self, it: Desired, revision: Revision) {
         let known = self.desired();
         let old = known.as_ref().map_or(0, |it| it.version);
         if it.version <= old {
@@ -282,10 +285,10 @@
     }
 
     /// Takes a directory in, sorted by id.
-    pub fn set_directory(self: &Rc<Self>, servers: Vec<Server>, revision: u64) {
+    pub fn set_directory(self: &Rc<Self>, servers: Vec<Server>, revision: Revision) {
         self.set_revision(Collection::Servers, revision);
         let old = self.directory.replace(Some(servers.clone())).unwrap_or_default();
-        self.history.note_directory(&old, &servers, revision);
+        self.history.note_directory(&old, &servers, revision.order());
         let now = self.now();
         for it in &servers {
             let before = old.binary_search_by(|old| old.id.cmp(&it.id)).ok().map(|at| &old[at]);
@@ -322,8 +325,24 @@
         }
     }
 
+    /// How often the store has come back from an older copy, as far as is known here.
+    pub fn era(&self) -> Option<u64> {
+        self.edge.store.era().max(self.told_era.get())
+    }
+
+    /// Another instance has told a revision of the store.
+    pub fn hear_era(&self, it: Revision) {
+        self.told_era.set(self.told_era.get().max(Some(it.era())));
+    }
+
+    /// The right to give orders, while this instance may use it: not what was granted before the store came back from an
+    /// older copy.
+    pub fn token(&self) -> Option<u64> {
+        self.tenure.token(self.era()?, self.now())
+    }
+
     /// The store's revision at which a collection was last known to have changed.
-    pub fn revision(&self, what: Collection) -> Option<u64> {
+    pub fn revision(&self, what: Collection) -> Option<Revision> {
         match what {
             Collection::Desired => self.revisions.get().0,
             _ => self.revisions.get().1,
@@ -331,7 +350,7 @@
     }
 
     /// A collection is known as it was changed at this revision.
-    pub fn set_revision(&self, what: Collection, revision: u64) {
+    pub fn set_revision(&self, what: Collection, revision: Revision) {
         let (desired, servers) = self.revisions.get();
         self.revisions.set(match what {
             Collection::Desired => (Some(revision), servers),
--- a/crates/engine/src/leaders.rs
+++ b/crates/engine/src/leaders.rs
@@ -13,7 +13,7 @@
         ports::{Collection, Object, Record, StoreError},
     },
     pondtrack_core::leader::{Evidence, Leader},
-    pondtrack_proto::{Name, Term},
+    pondtrack_proto::{Name, Revision, Term},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -54,7 +54,7 @@
 /// A group's record.
 struct Known {
     group: Name,
-    revision: u64,
+    revision: Revision,
     leader: Leader,
 }
 
@@ -62,7 +62,7 @@
 struct Due {
     group: Name,
     /// The store's revision of the one that it replaces.
-    revision: Option<u64>,
+    revision: Option<Revision>,
     leader: Leader,
 }
 
@@ -70,7 +70,7 @@
     /// Reads the records, or writes down what is new, if there is anything to do and this instance holds the lease.
     pub fn keep(&self, inst: &Rc<Instance>) {
         let now = inst.now();
-        let Some(token) = inst.tenure.token(now) else { return };
+        let Some(token) = inst.token() else { return };
         if self.calling.get() || now < self.pause.get() {
             return;
         }
@@ -98,7 +98,7 @@
 
     /// Looks at the records, if they were read under this instance's lease.
     fn with_known<T>(&self, inst: &Instance, look: impl FnOnce(&[Known]) -> T) -> Option<T> {
-        let token = inst.tenure.token(inst.now())?;
+        let token = inst.token()?;
         let read = self.read.borrow();
         read.as_ref().filter(|it| it.token == token).map(|it| look(&it.known))
     }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -17,7 +17,7 @@
         quota::{Grant, Slots, Stamp},
         turn::Rank,
     },
-    pondtrack_proto::{Incarnation, Mark, Name},
+    pondtrack_proto::{Incarnation, Mark, Name, Revision},
     serde::{Deserialize, Serialize},
     std::net::SocketAddrV4,
 };
@@ -70,9 +70,9 @@
     /// The configuration's version.
     pub version: u64,
     /// The store's revision of the configuration.
-    pub desired: u64,
+    pub desired: Revision,
     /// The store's revision of the directory of servers.
-    pub directory: u64,
+    pub directory: Revision,
     /// Tells apart which instances are up, as it knows them.
     pub members: u64,
     /// Whether its calls of the store have results.
--- a/crates/engine/src/ports.rs
+++ b/crates/engine/src/ports.rs
@@ -10,14 +10,14 @@
     },
     bytes::{Bytes, BytesMut},
     futures::future::LocalBoxFuture,
-    pondtrack_proto::{Mark, Name},
+    pondtrack_proto::{Mark, Name, Revision},
     serde::{Deserialize, Serialize},
     snafu::Snafu,
     std::{net::SocketAddrV4, time::Duration},
     strum::{Display, IntoStaticStr},
 };
 
-pub use pondtrack_core::leader::Leader;
+pub use pondtrack_core::{leader::Leader, lease::LeaseRecord};
 
 /// Bytes that are not a message of the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -112,21 +112,6 @@
     pub addr: SocketAddrV4,
 }
 
-/// Who may give orders.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseRecord {
-    /// The instance; empty when it was given up.
-    pub holder: Name,
-    /// The fencing token: rises with each change of holder.
-    pub token: u64,
-    /// Tells writes apart, so that a lost answer is recognised.
-    pub nonce: u64,
-    /// Whether every holder so far recorded a group in [`Collection::Leaders`] before its first promotion. A version that
-    /// doesn't know of it drops it.
-    #[serde(default)]
-    pub complete: bool,
-}
-
 /// What an object in the store holds.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record {
@@ -150,7 +135,7 @@
     /// Its name.
     pub name: Name,
     /// The store's revision of its last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// What it holds; none when it was deleted.
     pub record: Option<Record>,
 }
@@ -161,7 +146,7 @@
     /// The objects.
     pub items: Vec<Object>,
     /// The store's revision.
-    pub as_of: u64,
+    pub as_of: Revision,
 }
 
 /// Why a call of the store has no result.
@@ -201,11 +186,14 @@
 
 /// The platform's store. Each call is one request; nothing is repeated.
 pub trait Store {
+    /// The latest era of the store that any answer has told so far, also one that refused a call; none before the first.
+    fn era(&self) -> Option<u64>;
+
     /// Reads a collection; `stale` allows an answer that is seconds old, at a lower price.
     fn list(&self, what: Collection, stale: bool) -> Reply<Objects, StoreError>;
 
     /// Waits for changes since a revision.
-    fn watch(&self, what: Collection, since: u64, wait: Duration) -> Reply<Objects, StoreError>;
+    fn watch(&self, what: Collection, since: Revision, wait: Duration) -> Reply<Objects, StoreError>;
 
     /// Writes an object: replaces it at this revision, or creates it with none. Hands back its revision.
     fn put(
@@ -213,8 +201,8 @@
         what: Collection,
         name: Name,
         record: Record,
-        revision: Option<u64>,
-    ) -> Reply<u64, StoreError>;
+        revision: Option<Revision>,
+    ) -> Reply<Revision, StoreError>;
 
     /// Removes an object.
     fn remove(&self, what: Collection, name: Name) -> Reply<(), StoreError>;
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -14,6 +14,8 @@
     pub zone: Name,
     /// Where other instances connect.
     pub peer_addr: SocketAddrV4,
+    /// Whether there was no instance before this one and those that start with it.
+    pub first_start: bool,
 }
 
 /// Times that the platform promises and expects; they may change while an instance runs.
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -182,6 +182,7 @@
 pub async fn heard(inst: Rc<Instance>, beat: Beat) {
     let spread = &inst.spread;
     let now = inst.now();
+    inst.hear_era(beat.desired.max(beat.directory));
     if beat.watching {
         spread.heard.set(now);
     }
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -77,7 +77,7 @@
     let mut watched: Vec<Watched> = Vec::new();
     loop {
         sleep(LOOK).await;
-        if inst.tenure.token(inst.now()).is_none() {
+        if inst.token().is_none() {
             watched.clear();
             continue;
         }
--- a/crates/engine/src/takeover/change.rs
+++ b/crates/engine/src/takeover/change.rs
@@ -214,8 +214,7 @@
     async fn promote(&self, target: &Upstream) -> Result<(), Failed> {
         let entry = target.entry();
         for _ in 0..ORDERS {
-            let now = self.inst.now();
-            let token = self.inst.tenure.token(now).ok_or("the right to promote has ended")?;
+            let token = self.inst.token().ok_or("the right to promote has ended")?;
             if self.group.forgotten() != self.forgotten {
                 return Err("a server that was asked has forgotten what it held");
             }
--- a/crates/pondtrackd/src/hosted.rs
+++ b/crates/pondtrackd/src/hosted.rs
@@ -112,8 +112,12 @@
         store: Box::new(ObjectStore::new(boot.platform.addr)),
         promoter: Box::new(Orders::new(boot.orders.addr)),
     };
-    let own =
-        settings::Settings { name: boot.name.clone(), zone: boot.zone.clone(), peer_addr: boot.peer_addr() };
+    let own = settings::Settings {
+        name: boot.name.clone(),
+        zone: boot.zone.clone(),
+        peer_addr: boot.peer_addr(),
+        first_start: boot.first_start,
+    };
     let inst = Instance::new(own, reload::bounds(&boot), edge);
     let callers = listen("callers", boot.listen.callers).await?;
     let ready = listen("ready", boot.listen.ready).await?;
--- a/crates/pondtrackd/tests/soak.rs
+++ b/crates/pondtrackd/tests/soak.rs
@@ -51,6 +51,10 @@
 /// promoted while another, which couldn't be stopped, had spoken for commits that only it and the old
 /// primary held.
 const REGRESSIONS: &[u64] = &[5, 37];
+/// In one of so many seeds the store comes back from older copies.
+const RETURNING: u64 = 5;
+/// Parts the random numbers of these from the others'.
+const RETURNS_SALT: u64 = 0x2545_f491_4f6c_dd1d;
 /// How long faults go on for a seed.
 const FAULTS: Duration = Duration::from_secs(9);
 /// Time for everything to work again afterwards.
@@ -145,6 +149,7 @@
     let forgetting = tokio::task::spawn_local(forget::faults(world.clone(), end));
     let changing = world.clone();
     let changes = tokio::task::spawn_local(async move { growth::change(&changing, end).await });
+    let returns = tokio::task::spawn_local(store_returns(world.clone(), end));
     let watching = world.clone();
     let watches = tokio::task::spawn_local(async move { growth::watch(&watching, end).await });
     while Instant::now() < end {
@@ -154,6 +159,7 @@
     later.await.expect("faults don't fail");
     forgetting.await.expect("faults don't fail");
     changes.await.expect("changes don't fail");
+    returns.await.expect("returns don't fail");
     watches.await.expect("no configuration reverts");
     // The last faults heal by themselves.
     sleep(Duration::from_secs(4)).await;
@@ -466,6 +472,21 @@
     }
 }
 
+/// In a fifth of the seeds the store is away for a moment now and then, and comes back as it was seconds before.
+async fn store_returns(world: Rc<World>, end: Instant) {
+    if !world.seed.is_multiple_of(RETURNING) {
+        return;
+    }
+    let mut rng = Pcg64Mcg::seed_from_u64(world.seed ^ RETURNS_SALT);
+    while Instant::now() < end {
+        sleep(Duration::from_millis(rng.random_range(500..3_000))).await;
+        world.instances.iter().for_each(|it| it.front.store.outage.set(Outage::Refuses));
+        sleep(Duration::from_millis(rng.random_range(0..800))).await;
+        world.store.restore(Duration::from_millis(rng.random_range(0..5_000)));
+        world.instances.iter().for_each(|it| it.front.store.outage.set(Outage::None));
+    }
+}
+
 async fn broken(server: &stand_in::FakeServer, fault: Fault, span: Duration) {
     server.fault.set(fault);
     sleep(span).await;
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`fact`] | versioned facts and digests spread between instances |
 //! | [`member`] | membership datagrams |
 //! | [`peer`] | statements and control requests over a peer link |
+//! | [`revision`] | states of the platform's store |
 //! | [`status`] | what an instance shows to an operator |
 
 pub mod fact;
@@ -16,6 +17,7 @@
 pub mod member;
 pub mod peer;
 pub mod plan;
+pub mod revision;
 pub mod status;
 
 pub use crate::{
@@ -25,5 +27,6 @@
     member::{Datagram, MemberState, MemberView, Payload},
     peer::{Class, Outcome, PeerMsg, Question, Reply, Request, Served, TxnState},
     plan::{Intent, Plan, PlanState, Step, StepState},
+    revision::Revision,
     status::{Decision, GroupStatus, InstanceStatus, MemberStatus, ServerStatus},
 };
