--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -51,7 +51,8 @@
     // The revision after which changes are wanted; none when everything has to be read.
     let mut since: Option<Revision> = None;
     loop {
-        if !inst.spread.must_watch(&inst) {
+        // At the start it reads the whole in any case.
+        if !inst.spread.must_watch(&inst) && inst.revision(what).is_some() {
             since = None;
             sleep(IDLE).await;
             continue;
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -83,11 +83,12 @@
         (before, 1 + zone.len() / WATCHERS_PER)
     }
 
-    /// Whether this instance has to watch the store.
+    /// Whether this instance has to watch the store. One that has just started waits for those that do: all at once would
+    /// each be told of every server that comes up with them.
     pub fn must_watch(&self, inst: &Instance) -> bool {
         let silent = inst.now().saturating_sub(self.heard.get());
         let lost = inst.bounds.get().apply.mul_f64(LOST_SHARE);
-        self.heard.get() == 0 || silent >= micros(lost) || self.is_watcher(inst)
+        silent >= micros(lost) || self.is_watcher(inst)
     }
 
     /// A call for a collection had, or had no, result.
