--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -348,3 +348,82 @@
     let Grant::Granted { count, .. } = it.claim(&organisation, low, 10, SECOND + TERM - 1) else { panic!() };
     assert_eq!(count, 1);
 }
+
+/// Instances that lend to the limiter of one organisation, and callers that come to them unevenly: some to none.
+struct Fleet {
+    limiter: Limiter,
+    lenders: Vec<Name>,
+    seq: u64,
+    now: u64,
+}
+
+impl Fleet {
+    fn new(n: usize) -> Fleet {
+        let lenders = (0..n).map(|it| Name::from(format!("n{it}"))).collect();
+        let mut it = Fleet { limiter: Limiter::new(1), lenders, seq: 0, now: SECOND };
+        it.lend(1.0);
+        it
+    }
+
+    /// This part of the instances lends on.
+    fn lend(&mut self, part: f64) {
+        let n = self.lenders.len();
+        let mut slots = Slots::default();
+        (0..SLOTS).for_each(|slot| slots.insert(slot));
+        let stamp = Some(self.limiter.stamp(self.now));
+        self.seq += 1;
+        for it in &self.lenders[..(n as f64 * part) as usize] {
+            self.limiter.lent(it, self.seq, slots, 1.0 / n as f64, stamp, self.now);
+        }
+    }
+
+    /// Operations that are granted of those that come at a rate over some seconds, and those that come.
+    fn play(&mut self, rate: f64, part: f64, seconds: u64) -> (u32, u32) {
+        let organisation = Name::from("acme");
+        let (mut granted, mut asked) = (0, 0);
+        let end = self.now + seconds * SECOND;
+        let mut next = self.now;
+        while self.now < end {
+            if next <= self.now {
+                self.lend(part);
+                next = self.now + 400_000;
+            }
+            self.now += (SECOND as f64 / rate) as u64;
+            asked += 1;
+            if let Grant::Granted { count, .. } = self.limiter.claim(&organisation, LIMITS, 1, self.now) {
+                granted += count;
+            }
+        }
+        (granted, asked)
+    }
+}
+
+#[rstest]
+#[case(9)]
+#[case(71)]
+#[case(300)]
+#[case(760)]
+fn an_organisation_gets_its_limit_whatever_the_fleets_size(#[case] n: usize) {
+    let mut it = Fleet::new(n);
+    let (granted, asked) = it.play(LIMITS.rate * 0.9, 1.0, 10);
+    assert_eq!(granted, asked, "below nine tenths nothing is refused");
+    for load in [2.0, 7.5] {
+        let (granted, _) = it.play(LIMITS.rate * load, 1.0, 10);
+        let limit = LIMITS.rate * 10.0;
+        assert!(f64::from(granted) >= 0.95 * limit, "{granted} of {limit} at {load} times the limit");
+    }
+    let (granted, _) = it.play(LIMITS.rate * 2.0, 0.5, 10);
+    let half = LIMITS.rate * 10.0 * 0.5;
+    assert!(f64::from(granted) >= 0.95 * half, "{granted}, where {half} is the share of half the fleet");
+    let (granted, _) = it.play(LIMITS.rate * 2.0, 1.0, 5);
+    assert!(f64::from(granted) >= 0.9 * LIMITS.rate * 5.0, "back within a window");
+}
+
+/// Where an organisation's callers are half as many as its limit allows, half of the fleet is enough for half of them.
+#[test]
+fn a_part_of_the_fleet_serves_its_part_of_the_callers() {
+    let mut it = Fleet::new(70);
+    it.play(LIMITS.rate * 0.6, 1.0, 5);
+    let (granted, asked) = it.play(LIMITS.rate * 0.3, 0.5, 10);
+    assert!(f64::from(granted) >= 0.95 * f64::from(asked), "{granted} of {asked}");
+}
--- a/crates/engine/src/limit.rs
+++ b/crates/engine/src/limit.rs
@@ -35,6 +35,13 @@
 const LIMIT: Duration = Duration::from_millis(150);
 /// Between two questions to a limiter that did not answer, whether it does again.
 const PROBE: Duration = Duration::from_millis(1_000);
+/// The same for this long after the start, when limiters may come up a moment later: within the first period.
+const START: Duration = Duration::from_millis(3_000);
+/// How long an operation waits then for a limiter that has shares. Its caller would only come back as soon, and does so
+/// twice at most.
+const START_WAIT: Duration = Duration::from_millis(400);
+/// Between two looks meanwhile.
+const START_LOOK: Duration = Duration::from_millis(25);
 /// An instance that no other answers for this long is its own limiter.
 const ALONE: Duration = Duration::from_millis(1_200);
 /// An instance that is new to the others counts itself as one of them only after this long: until then they divide the
@@ -50,6 +57,9 @@
 /// The longest: a limit may be raised, or another limiter may take over.
 const REFUSED_MOST: Micros = 200_000;
 
+/// The answer where no limiter is known, and of one that has no share.
+const UNPLACED: Grant = Grant::Refused { after: TERM };
+
 /// An operation that waits for a limiter's word.
 struct Waiting {
     organisation: Name,
@@ -124,14 +134,12 @@
         if let Some(left) = self.refused(organisation, inst.now()) {
             return Err(left);
         }
-        let limiter = self.limiters.borrow().as_ref().map(|it| it[slot(organisation)].clone());
-        let grant = match limiter {
-            None => Grant::Refused { after: TERM },
-            Some(it) if it == inst.settings.name => {
-                self.limiter.borrow_mut().claim(organisation, limits, 1, inst.now())
-            }
-            Some(it) => self.ask(inst, it, organisation).await,
-        };
+        let end = (inst.now() + micros(START_WAIT)).min(micros(START));
+        let mut grant = self.claim(inst, organisation, limits).await;
+        while grant == UNPLACED && inst.now() < end {
+            sleep(START_LOOK).await;
+            grant = self.claim(inst, organisation, limits).await;
+        }
         match grant {
             Grant::Granted { after: 0, .. } => Ok(()),
             Grant::Granted { after, .. } => {
@@ -146,6 +154,18 @@
         }
     }
 
+    /// Claims an operation where the organisation's limiter is, as far as is known.
+    async fn claim(&self, inst: &Rc<Instance>, organisation: &Name, limits: Limits) -> Grant {
+        let limiter = self.limiters.borrow().as_ref().map(|it| it[slot(organisation)].clone());
+        match limiter {
+            None => UNPLACED,
+            Some(it) if it == inst.settings.name => {
+                self.limiter.borrow_mut().claim(organisation, limits, 1, inst.now())
+            }
+            Some(it) => self.ask(inst, it, organisation).await,
+        }
+    }
+
     /// How much longer an organisation has no room, as far as is known.
     fn refused(&self, organisation: &Name, now: Micros) -> Option<Duration> {
         let mut full = self.full.borrow_mut();
@@ -163,9 +183,9 @@
     async fn ask(&self, inst: &Rc<Instance>, limiter: Name, organisation: &Name) -> Grant {
         let (word, got) = oneshot::channel();
         if self.put_queue(&limiter, Waiting { organisation: organisation.clone(), word }) {
-            tokio::task::spawn_local(claim(inst.clone(), limiter));
+            tokio::task::spawn_local(ask_all(inst.clone(), limiter));
         }
-        got.await.unwrap_or(Grant::Refused { after: TERM })
+        got.await.unwrap_or(UNPLACED)
     }
 
     /// Adds an operation to those that wait for a limiter; says whether nobody works on its list yet.
@@ -311,7 +331,8 @@
         out.extend(limiters);
         let mut unfit = self.unfit.borrow_mut();
         unfit.retain(|it| inst.peer(&it.name).is_some());
-        let due = unfit.iter().filter(|it| now.saturating_sub(it.probed) >= micros(PROBE));
+        let probe = if now < micros(START) { FIRST_PERIOD } else { PROBE };
+        let due = unfit.iter().filter(|it| now.saturating_sub(it.probed) >= micros(probe));
         out.extend(due.map(|it| it.name.clone()));
         out.sort_unstable();
         out.dedup();
@@ -403,7 +424,7 @@
 }
 
 /// Asks a limiter for operations as long as any wait for it.
-async fn claim(inst: Rc<Instance>, limiter: Name) {
+async fn ask_all(inst: Rc<Instance>, limiter: Name) {
     let limit = &inst.limit;
     while let Some(mut waiting) = limit.take_queue(&limiter) {
         waiting.sort_by(|a, b| a.organisation.cmp(&b.organisation));
@@ -420,7 +441,7 @@
             _ => {
                 limit.set_unfit(&limiter, inst.now());
                 limit.place(&inst);
-                vec![Grant::Refused { after: 0 }; claims.len()]
+                vec![UNPLACED; claims.len()]
             }
         };
         let mut waiting = waiting.into_iter();
