--- a/crates/core/benches/ratios.rs
+++ b/crates/core/benches/ratios.rs
@@ -6,8 +6,9 @@
         gate::Gate,
         member::{MemberConfig, Members},
         place,
+        quota::{Limiter, Limits, SLOTS, Slots},
     },
-    pondtrack_proto::{GroupSpec, Lsn, Mark, MemberState, MemberView, ServerSpec, Term},
+    pondtrack_proto::{GroupSpec, Lsn, Mark, MemberState, MemberView, Name, ServerSpec, Term},
     std::{hint::black_box, process::ExitCode, time::Instant},
 };
 
@@ -29,7 +30,13 @@
         ),
         ("a tick of membership among 760 against 76", ticks(many) / ticks(few), 20.0),
         ("opening the gate for 1000 commits against 100", held(1_000) / held(100), 40.0),
+        (
+            "granting an operation among 5,000 organisations and 760 instances against 8 and 9",
+            granted(760, 5_000) / granted(9, 8),
+            8.0,
+        ),
     ];
+    println!("an operation among 5,000 organisations and 760 instances: {:.0} ns", granted(760, 5_000) * 1e9);
     let mut good = true;
     for (name, ratio, bound) in bounds {
         let ok = ratio <= bound;
@@ -111,3 +118,27 @@
         it.observe(1, Term(1), Mark::new(1, n)).len()
     })
 }
+
+/// Seconds to grant an operation of one of many organisations, to which so many instances have lent their shares.
+fn granted(instances: usize, organisations: usize) -> f64 {
+    const ASKED: usize = 2_000;
+    let now = 1_000_000;
+    let mut it = Limiter::new(1);
+    let since = Some(it.stamp(now));
+    let mut slots = Slots::default();
+    (0..SLOTS).for_each(|slot| slots.insert(slot));
+    for n in 0..instances {
+        it.lent(&Name::from(format!("n{n}")), 1, slots, 1.0 / instances as f64, since, now);
+    }
+    let names: Vec<Name> = (0..organisations).map(|n| Name::from(format!("organisation{n}"))).collect();
+    let limits = Limits { rate: 1e9, burst: 1e9, margin: 0.0 };
+    let mut best = f64::MAX;
+    for _ in 0..ROUNDS {
+        let from = Instant::now();
+        for n in 0..ASKED {
+            black_box(it.claim(&names[n * 7 % organisations], limits, 1, now + n as u64));
+        }
+        best = best.min(from.elapsed().as_secs_f64() / ASKED as f64);
+    }
+    best
+}
