Quota: a process that can't see the others yet doesn't take their shares

Cause: soak seed 3040 (instances that start again, a store that comes back from older copies): 76 operations in a window, 72.8 allowed. One instance started while the copy lacked the others' entries, counted others=0 in its line, and lent itself the whole of each limit; another then counted one of two. Ruled out: late loans (nothing was cut in that time), the margin of new limiters (5 operations each), tries of one request at two servers (some of the 76 may be such; the line alone is wrong). Change: a limiter tells how many instances it has counted, and the higher number counts; a process that has heard of nobody takes itself for alone only after 4 s, unless the fleet starts for the first time. The seed stays in the soak. Nothing else than deployments with organisations is touched.

--- a/crates/engine/src/limit.rs
+++ b/crates/engine/src/limit.rs
@@ -49,6 +49,10 @@
 const SETTLE: Duration = Duration::from_millis(8_000);
 /// A smaller number of instances counts only after this long: some may be about to come back.
 const SHRINK: Duration = Duration::from_millis(10_000);
+/// A process that has heard of no other instance takes itself for the only one only after this long, unless the whole fleet
+/// starts for the first time: the store may have come back from a copy without the entries of the others, which are
+/// written again within this time.
+const LONELY: Duration = Duration::from_millis(4_000);
 /// The part of the tolerated operations that full buckets use, and again each new limiter; the rest is for limiters that
 /// start again and for what is granted ahead.
 const MARGIN_SHARE: f64 = 0.25;
@@ -66,6 +70,26 @@
     word: oneshot::Sender<Grant>,
 }
 
+/// How many instances share the limits: the most that were counted lately.
+#[derive(Clone, Copy, Default)]
+struct Counted {
+    most: usize,
+    /// When there were last as many.
+    at: Micros,
+}
+
+impl Counted {
+    fn note(&mut self, n: usize, now: Micros) {
+        if n >= self.most || self.is_old(now) {
+            *self = Counted { most: n, at: now };
+        }
+    }
+
+    fn is_old(self, now: Micros) -> bool {
+        now.saturating_sub(self.at) >= micros(SHRINK)
+    }
+}
+
 /// A limiter that doesn't answer.
 struct Unfit {
     name: Name,
@@ -89,8 +113,10 @@
     queues: RefCell<Vec<(Name, Vec<Waiting>)>>,
     /// Organisations without room, and until when.
     full: RefCell<Vec<(Name, Micros)>>,
-    /// How many instances share the limits, and when there were last as many.
-    count: Cell<(usize, Micros)>,
+    /// Instances as this one has counted them.
+    count: Cell<Counted>,
+    /// The same as others told. It is told to nobody else, so that a number that was right once isn't told in circles.
+    told: Cell<Counted>,
     /// When another instance last answered.
     answered: Cell<Micros>,
     /// Whether this instance is new to others that were there before.
@@ -112,6 +138,7 @@
             queues: RefCell::default(),
             full: RefCell::default(),
             count: Cell::default(),
+            told: Cell::default(),
             answered: Cell::default(),
             new: Cell::default(),
             seq: Cell::default(),
@@ -224,7 +251,8 @@
         let slots = limiter.lent(&it.from, it.seq, slots, it.share, it.since, now);
         let version = inst.desired().map(|it| it.version);
         let age = inst.unconfirmed().map(|it| (it / 1_000) as u32);
-        Told::Lent { slots, stamp: limiter.stamp(now), leaving, confirmed: version.zip(age) }
+        let count = self.count.get().most as u32;
+        Told::Lent { slots, stamp: limiter.stamp(now), leaving, count, confirmed: version.zip(age) }
     }
 
     /// Answers another instance that has operations to run.
@@ -243,11 +271,7 @@
     fn place(&self, inst: &Instance) {
         let Some(peers) = inst.peers() else { return };
         let now = inst.now();
-        let (most, since) = self.count.get();
-        let n = peers.len() + 1;
-        if n >= most || now.saturating_sub(since) >= micros(SHRINK) {
-            self.count.set((n, now));
-        }
+        note(&self.count, peers.len() + 1, now);
         let me = &inst.settings.name;
         let unfit = self.unfit.borrow();
         let silent = now.saturating_sub(self.answered.get());
@@ -267,9 +291,14 @@
     }
 
     /// This instance's share of each limit.
-    fn share(&self, now: Micros) -> f64 {
-        let settled = !self.new.get() || now >= micros(SETTLE);
-        if settled { 1.0 / self.count.get().0.max(1) as f64 } else { 0.0 }
+    fn share(&self, inst: &Instance, now: Micros) -> f64 {
+        let is_known = !self.new.get() || now >= micros(SETTLE);
+        let lonely = self.answered.get() == 0 && now < micros(LONELY);
+        if !is_known || lonely && !inst.settings.first_start {
+            return 0.0;
+        }
+        let told = Some(self.told.get()).filter(|it| !it.is_old(now)).map_or(0, |it| it.most);
+        1.0 / self.count.get().most.max(told).max(1) as f64
     }
 
     /// A message for an instance: the shares of the slots that are meant for it.
@@ -277,7 +306,7 @@
         let now = inst.now();
         let stamps = self.stamps.borrow();
         let since = stamps.binary_search_by(|it| it.0.cmp(to)).ok().map(|at| stamps[at].1);
-        let share = self.share(now);
+        let share = self.share(inst, now);
         let mut slots = Slots::default();
         if since.is_some()
             && share > 0.0
@@ -309,10 +338,11 @@
     }
 
     /// How long until the next messages to limiters.
-    fn pause(&self, now: Micros) -> Duration {
+    fn pause(&self, inst: &Instance) -> Duration {
+        let now = inst.now();
         let limiters = self.limiters.borrow();
         let placed = limiters.as_ref().is_some_and(|it| self.lender.borrow().is_placed(it, now));
-        if placed || self.share(now) == 0.0 { PERIOD } else { FIRST_PERIOD }
+        if placed || self.share(inst, now) == 0.0 { PERIOD } else { FIRST_PERIOD }
     }
 
     fn set_unfit(&self, name: &Name, now: Micros) {
@@ -342,6 +372,12 @@
     }
 }
 
+fn note(cell: &Cell<Counted>, n: usize, now: Micros) {
+    let mut it = cell.get();
+    it.note(n, now);
+    cell.set(it);
+}
+
 /// What limits an organisation; none where nothing does.
 fn limits(inst: &Instance, organisation: &Name) -> Option<Limits> {
     let desired = inst.desired()?;
@@ -352,7 +388,7 @@
 /// Lends this instance's shares to limiters, for good.
 pub async fn run(inst: Rc<Instance>) {
     loop {
-        sleep(inst.limit.pause(inst.now())).await;
+        sleep(inst.limit.pause(&inst)).await;
         let limited = inst.desired().is_some_and(|it| it.organisations.is_some());
         if !limited {
             continue;
@@ -391,8 +427,9 @@
         let lending = limit.lending(&inst, &to);
         let (sent, asked) = (lending.slots, inst.now());
         match timeout(LIMIT, peer.ask(&inst, Ask::Lend(lending))).await {
-            Ok(Told::Lent { slots, stamp, leaving, confirmed }) => {
+            Ok(Told::Lent { slots, stamp, leaving, count, confirmed }) => {
                 limit.answered.set(inst.now());
+                note(&limit.told, count as usize, inst.now());
                 hear(&inst, confirmed, asked);
                 let again = limit.took(&to, sent, slots, stamp);
                 if leaving {
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -279,6 +279,8 @@
         stamp: Stamp,
         /// Whether the instance leaves, so that others should be asked.
         leaving: bool,
+        /// How many instances share the limits, as that one has counted them.
+        count: u32,
         /// The version of the configuration there, and how long ago that is known to have been the newest, in
         /// milliseconds.
         confirmed: Option<(u64, u32)>,
--- a/crates/pondtrackd/tests/soak.rs
+++ b/crates/pondtrackd/tests/soak.rs
@@ -49,8 +49,9 @@
 const SEEDS: std::ops::Range<u64> = 1..3;
 /// Seeds that failed once; each runs with the other tests. 5 and 37: a replica that had received nothing was
 /// promoted while another, which couldn't be stopped, had spoken for commits that only it and the old
-/// primary held.
-const REGRESSIONS: &[u64] = &[5, 37];
+/// primary held. 3040: a process that started just after the store had come back from a copy without the others' entries
+/// took the whole of each quota for its share.
+const REGRESSIONS: &[u64] = &[5, 37, 3040];
 /// In one of so many seeds the store comes back from older copies.
 const RETURNING: u64 = 5;
 /// Parts the random numbers of these from the others'.
