--- a/crates/core/src/quota/limiter.rs
+++ b/crates/core/src/quota/limiter.rs
@@ -30,12 +30,19 @@
 #[derive(Clone, Debug)]
 struct Loan {
     lender: Name,
-    /// The lender's count of its messages: an older one that is late changes nothing.
-    seq: u64,
     share: f64,
     until: u64,
 }
 
+/// The newest message of a lender: an older one that is late changes nothing.
+#[derive(Clone, Debug)]
+struct Heard {
+    lender: Name,
+    seq: u64,
+    /// What is older can't lend any longer.
+    until: u64,
+}
+
 /// An organisation's bucket.
 #[derive(Clone, Debug)]
 struct Bucket {
@@ -82,12 +89,14 @@
 pub struct Limiter {
     process: u64,
     slots: [Slot; SLOTS],
+    /// Sorted by lender.
+    heard: Vec<Heard>,
 }
 
 impl Limiter {
     /// Nothing was lent yet; `process` tells apart the processes that an instance runs as.
     pub fn new(process: u64) -> Limiter {
-        Limiter { process, slots: Default::default() }
+        Limiter { process, slots: Default::default(), heard: Vec::new() }
     }
 
     /// The present moment, for a lender to hand back.
@@ -107,20 +116,33 @@
         now: u64,
     ) -> Slots {
         let known = since.filter(|it| it.process == self.process && it.at <= now);
-        let lent = known.map_or(0, |it| it.at + TERM);
+        let until = known.map_or(0, |it| it.at + TERM);
+        let is_new = self.hear(lender, seq, now);
         let mut used = Slots::default();
         for (n, slot) in self.slots.iter_mut().enumerate() {
             slot.advance(now);
-            // One that was taken back is remembered for as long as an older message could name it.
-            let (share, until) =
-                if slots.contains(n) && lent > now { (share, lent) } else { (0.0, now + TERM) };
-            if slot.put(Loan { lender: lender.clone(), seq, share, until }) {
+            if is_new {
+                let share = if slots.contains(n) && until > now { share } else { 0.0 };
+                slot.put(lender, share, until);
+            }
+            if slot.uses(lender) {
                 used.insert(n);
             }
         }
         used
     }
 
+    /// Takes in that a message has come; says whether none after it has.
+    fn hear(&mut self, lender: &Name, seq: u64, now: u64) -> bool {
+        let heard = Heard { lender: lender.clone(), seq, until: now + TERM };
+        match self.heard.binary_search_by(|it| it.lender.cmp(lender)) {
+            Ok(at) if self.heard[at].until > now && self.heard[at].seq >= seq => return false,
+            Ok(at) => self.heard[at] = heard,
+            Err(at) => self.heard.insert(at, heard),
+        }
+        true
+    }
+
     /// An organisation wants to run so many operations.
     pub fn claim(&mut self, organisation: &Name, limits: Limits, count: u32, now: u64) -> Grant {
         let slot = &mut self.slots[slot(organisation)];
@@ -133,8 +155,9 @@
         self.slots[slot(organisation)].sum
     }
 
-    /// Forgets buckets that nobody has asked for a long time.
+    /// Forgets buckets that nobody has asked for a long time, and messages that no older one can follow.
     pub fn trim(&mut self, now: u64) {
+        self.heard.retain(|it| it.until > now);
         for it in &mut self.slots {
             it.buckets.retain(|bucket| now.saturating_sub(bucket.used) < IDLE);
         }
@@ -173,17 +196,20 @@
         }
     }
 
-    /// Takes a loan in; says whether its lender's share is used here now.
-    fn put(&mut self, it: Loan) -> bool {
-        let share = it.share;
-        match self.loans.binary_search_by(|old| old.lender.cmp(&it.lender)) {
-            Ok(at) if self.loans[at].seq >= it.seq => return self.loans[at].share > 0.0,
-            Ok(at) => self.loans[at] = it,
-            Err(_) if share == 0.0 => return false,
-            Err(at) => self.loans.insert(at, it),
+    /// Takes in what a lender lends, or that it lends nothing.
+    fn put(&mut self, lender: &Name, share: f64, until: u64) {
+        match self.loans.binary_search_by(|it| it.lender.cmp(lender)) {
+            Ok(at) if share > 0.0 => self.loans[at] = Loan { lender: lender.clone(), share, until },
+            Ok(at) => drop(self.loans.remove(at)),
+            Err(at) if share > 0.0 => self.loans.insert(at, Loan { lender: lender.clone(), share, until }),
+            Err(_) => return,
         }
         self.sum_up();
-        share > 0.0
+    }
+
+    /// Whether a lender's share is used here.
+    fn uses(&self, lender: &Name) -> bool {
+        self.loans.binary_search_by(|it| it.lender.cmp(lender)).is_ok()
     }
 
     fn claim(&mut self, organisation: &Name, limits: Limits, count: u32, now: u64) -> Grant {
