Relays: names are copied only of the instances to choose among

A relayed statement copied the names of all other instances and then kept those of the homes and substitutes. No behaviour changes.

--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -397,8 +397,7 @@
         inst.place(self);
         let now = inst.now();
         let (unfit, homes) = (self.unfit.borrow(), self.homes.get());
-        let mut ranked = self.ranked.borrow().clone();
-        ranked.truncate(homes + SUBSTITUTES);
+        let mut ranked: Vec<Name> = self.ranked.borrow().iter().take(homes + SUBSTITUTES).cloned().collect();
         if let Owner::Organisation(owner) = owner {
             let n = homes.min(ranked.len());
             ranked[..n].sort_by_key(|it| Reverse(place::weight(owner, it)));
