Design: hard load; interfaces of the parts as types

The types that the parts share are committed ahead of them: urgency of claims, places to come back, budgets, shares of turns, capacities, sightings, and the message that cancels a question.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,10 +28,13 @@
 //! | [`route`] | which server answers a read |
 //! | [`balance`] | what a server costs at present |
 //! | [`place`] | home instances and their shares of connections |
+//! | [`capacity`] | what an instance can carry |
 //! | [`admit`] | queues, fairness and learned limits |
+//! | [`budget`] | how long a statement may wait before a server has it |
 //! | [`quota`] | usage limits of organisations over all instances |
 //! | [`turn`] | who runs next at a server that has too much to do |
 //! | [`retry`] | budgets and backoff |
+//! | [`retry_after`] | when callers that were refused may come back |
 //! | [`member`] | probes, suspicion, incarnations |
 //! | [`delta`] | what changed in a collection since a version |
 //! | [`spread`] | versioned facts, pushes and digests |
@@ -42,6 +45,8 @@
 
 pub mod admit;
 pub mod balance;
+pub mod budget;
+pub mod capacity;
 pub mod chart;
 pub mod claim;
 pub mod classify;
@@ -61,6 +66,7 @@
 pub mod recovery;
 pub mod request_key;
 pub mod retry;
+pub mod retry_after;
 pub mod route;
 pub mod spread;
 pub mod switch;
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -18,10 +18,12 @@
 
 mod lender;
 mod limiter;
+mod urgency;
 
 pub use self::{
     lender::Lender,
     limiter::{Grant, Limiter},
+    urgency::{Demand, Urgency},
 };
 
 use {
--- a/crates/core/src/turn.rs
+++ b/crates/core/src/turn.rs
@@ -44,6 +44,16 @@
 /// times, 15 serves 0.02 less at up to 1.8 times and as much more at 2.8.
 const WAIT_PERCENT: u64 = 30;
 
+/// Whose share of a server a statement uses. Those of one owner are ordered among themselves; owners get turns in
+/// proportion to their weights.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// Tells owners apart; 0 where callers aren't told apart.
+    pub owner: u64,
+    /// Its weight beside others; 0 counts as 1.
+    pub weight: u32,
+}
+
 /// What a statement is worth running for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rank {
--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -220,6 +220,7 @@
             Told::Late => Err(RunError::Late),
             Told::Broken(reason) => Err(RunError::Broken { reason }),
             Told::Status(_)
+            | Told::State(_)
             | Told::Turn { .. }
             | Told::Part(_)
             | Told::Elsewhere(_)
--- a/crates/engine/src/link.rs
+++ b/crates/engine/src/link.rs
@@ -155,6 +155,7 @@
                     | Message::EndTurn { .. }
                     | Message::Crowded { .. }
                     | Message::Beat(_)
+                    | Message::Cancel { .. }
                     | Message::Ping,
                 )
                 | None => break,
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -56,6 +56,11 @@
     },
     /// What an instance that watches the store knows.
     Beat(Beat),
+    /// Nobody waits for the answer to a question any longer: what it asked for needn't begin.
+    Cancel {
+        /// The question's id.
+        id: u64,
+    },
     /// Is anybody there?
     Ping,
     /// The answer to a ping.
@@ -103,6 +108,11 @@
     Lend(Lending),
     /// Operations within the limits of organisations.
     Claim(Vec<Claim>),
+    /// To tell what it knows of a group.
+    State {
+        /// The group.
+        group: Name,
+    },
     /// To give a server an order that it answers with its account of itself.
     Order {
         /// The server.
@@ -136,6 +146,17 @@
     pub count: u32,
 }
 
+/// What an instance knows of a server's account of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// The server.
+    pub server: ServerRun,
+    /// Its account.
+    pub status: Status,
+    /// How long before this message the server was asked for it, in microseconds.
+    pub age: Micros,
+}
+
 /// A server in the run of its process that the sender knows: what another run shows would be counted for the wrong one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerRun {
@@ -265,6 +286,8 @@
     Broken(String),
     /// The server's account of itself, if it gave one.
     Status(Option<Status>),
+    /// What is known of a group: the latest account of each of its servers.
+    State(Vec<Sighting>),
     /// Nothing was sent: nobody listens at the server's address.
     Gone,
     /// It was sent, and not answered in time.
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -94,6 +94,8 @@
             Message::Drop { stream } => drop(self.take_stream(stream)),
             Message::Beat(it) => drop(tokio::task::spawn_local(spread::heard(self.inst.clone(), it))),
             // On a closed link nobody waits for it.
+            // What has begun is left to end.
+            Message::Cancel { .. } => {}
             Message::Ping => drop(self.out.send(Message::Pong)),
             Message::Told { .. } | Message::Pong => return false,
         }
@@ -108,6 +110,8 @@
             Ask::Fetch(it) => handout::answer(inst, it).await,
             Ask::Lend(it) => inst.limit.lent(inst, &it),
             Ask::Claim(it) => inst.limit.claimed(inst, &it),
+            // Nothing is told yet of what was seen.
+            Ask::State { .. } => Told::State(Vec::new()),
             Ask::Order { server, order } => order_server(inst, &server, &order).await,
         };
         self.tell(id, told);
