--- /dev/null
+++ b/crates/engine/src/limit/lending.rs
@@ -0,0 +1,226 @@
+//! Shares of limits: which instance is the limiter of which slot, and what is lent to it.
+
+use {
+    super::{LIMIT, Limit, START, Unfit, note},
+    crate::{
+        instance::{Instance, Micros, micros},
+        message::{Ask, Lending, Told},
+    },
+    pondtrack_core::{
+        place,
+        quota::{Slots, Stamp},
+    },
+    pondtrack_proto::Name,
+    std::{rc::Rc, time::Duration},
+    tokio::time::{sleep, timeout},
+};
+
+/// Between two messages to a limiter: a loan outlasts two that are lost.
+const PERIOD: Duration = Duration::from_millis(400);
+/// The same until all shares are with their limiters, as after a start.
+const FIRST_PERIOD: Duration = Duration::from_millis(50);
+/// Between two questions to a limiter that did not answer, whether it does again.
+const PROBE: Duration = Duration::from_millis(1_000);
+/// An instance that no other answers for this long is its own limiter.
+const ALONE: Duration = Duration::from_millis(1_200);
+/// An instance that is new to the others counts itself as one of them only after this long: until then they divide the
+/// limits among fewer. They learn of each other within 7 s.
+const SETTLE: Duration = Duration::from_millis(8_000);
+/// A process that has heard of no other instance takes itself for the only one only after this long, unless the whole fleet
+/// starts for the first time: the store may have come back from a copy without the entries of the others, which are
+/// written again within this time.
+const LONELY: Duration = Duration::from_millis(4_000);
+
+impl Limit {
+    /// Answers another instance that lends its shares.
+    pub fn lent(&self, inst: &Instance, it: &Lending) -> Told {
+        let now = inst.now();
+        let leaving = inst.leaving().is_some();
+        let slots = if leaving { Slots::default() } else { it.slots };
+        let mut limiter = self.limiter.borrow_mut();
+        let slots = limiter.lent(&it.from, it.seq, slots, it.share, it.since, now);
+        let version = inst.desired().map(|it| it.version);
+        let age = inst.unconfirmed().map(|it| (it / 1_000) as u32);
+        let count = self.count.get().most as u32;
+        Told::Lent { slots, stamp: limiter.stamp(now), leaving, count, confirmed: version.zip(age) }
+    }
+
+    /// Counts the instances that share the limits, and finds the limiter of each slot.
+    pub(super) fn place(&self, inst: &Instance) {
+        let Some(peers) = inst.peers() else { return };
+        let now = inst.now();
+        note(&self.count, peers.len() + 1, now);
+        let me = &inst.settings.name;
+        let unfit = self.unfit.borrow();
+        let silent = now.saturating_sub(self.answered.get());
+        let is_alone = !unfit.is_empty() && silent >= micros(ALONE);
+        let fits = |it: &Name| !is_alone && unfit.iter().all(|old| old.name != *it);
+        let others: Vec<&Name> = peers.iter().map(|it| &it.name).filter(|it| fits(it)).collect();
+        let mine = (inst.leaving().is_none() || others.is_empty()).then_some(me);
+        let first = |slot: usize, all: &mut dyn Iterator<Item = &Name>| {
+            let subject = format!("limit {slot}");
+            all.max_by_key(|it| place::weight(&subject, it)).unwrap_or(me).clone()
+        };
+        let fit = std::array::from_fn(|slot| first(slot, &mut others.iter().copied().chain(mine)));
+        let all = || peers.iter().map(|it| &it.name).chain([me]);
+        let usual = std::array::from_fn(|slot| first(slot, &mut all()));
+        *self.limiters.borrow_mut() = Some(fit);
+        *self.usual.borrow_mut() = Some(usual);
+    }
+
+    /// This instance's share of each limit.
+    fn share(&self, inst: &Instance, now: Micros) -> f64 {
+        let is_known = !self.new.get() || now >= micros(SETTLE);
+        let lonely = self.answered.get() == 0 && now < micros(LONELY);
+        if !is_known || lonely && !inst.settings.first_start {
+            return 0.0;
+        }
+        let told = Some(self.told.get()).filter(|it| !it.is_old(now)).map_or(0, |it| it.most);
+        1.0 / self.count.get().most.max(told).max(1) as f64
+    }
+
+    /// A message for an instance: the shares of the slots that are meant for it.
+    fn lending(&self, inst: &Instance, to: &Name) -> Lending {
+        let now = inst.now();
+        let stamps = self.stamps.borrow();
+        let since = stamps.binary_search_by(|it| it.0.cmp(to)).ok().map(|at| stamps[at].1);
+        let share = self.share(inst, now);
+        let mut slots = Slots::default();
+        if since.is_some()
+            && share > 0.0
+            && let (Some(limiters), Some(usual)) = (&*self.limiters.borrow(), &*self.usual.borrow())
+        {
+            for (slot, _) in limiters.iter().enumerate().filter(|it| it.1 == to) {
+                if self.lender.borrow_mut().lend(slot, to, usual[slot] == *to, now) {
+                    slots.insert(slot);
+                }
+            }
+        }
+        self.seq.set(self.seq.get().max(now) + 1);
+        let from = inst.settings.name.clone();
+        Lending { from, seq: self.seq.get(), slots, share, since }
+    }
+
+    /// An instance has answered a loan; says whether another message at once makes it whole.
+    fn took(&self, from: &Name, sent: Slots, used: Slots, stamp: Stamp) -> bool {
+        self.lender.borrow_mut().returned(from, used);
+        let mut stamps = self.stamps.borrow_mut();
+        let known = match stamps.binary_search_by(|it| it.0.cmp(from)) {
+            Ok(at) => std::mem::replace(&mut stamps[at].1, stamp).process == stamp.process,
+            Err(at) => {
+                stamps.insert(at, (from.clone(), stamp));
+                false
+            }
+        };
+        !known || used != sent
+    }
+
+    /// How long until the next messages to limiters.
+    fn pause(&self, inst: &Instance) -> Duration {
+        let now = inst.now();
+        let limiters = self.limiters.borrow();
+        let placed = limiters.as_ref().is_some_and(|it| self.lender.borrow().is_placed(it, now));
+        if placed || self.share(inst, now) == 0.0 { PERIOD } else { FIRST_PERIOD }
+    }
+
+    pub(super) fn set_unfit(&self, name: &Name, now: Micros) {
+        let mut unfit = self.unfit.borrow_mut();
+        match unfit.iter_mut().find(|it| it.name == *name) {
+            Some(it) => it.probed = now,
+            None => unfit.push(Unfit { name: name.clone(), probed: now }),
+        }
+    }
+
+    /// The instances that are to be told something now.
+    fn audience(&self, inst: &Instance) -> Vec<Name> {
+        let now = inst.now();
+        let Some(limiters) = self.limiters.borrow().clone() else { return Vec::new() };
+        let mut out = self.lender.borrow().misplaced(&limiters, now);
+        out.extend(limiters);
+        let mut unfit = self.unfit.borrow_mut();
+        unfit.retain(|it| inst.peer(&it.name).is_some());
+        let probe = if now < micros(START) { FIRST_PERIOD } else { PROBE };
+        let due = unfit.iter().filter(|it| now.saturating_sub(it.probed) >= micros(probe));
+        out.extend(due.map(|it| it.name.clone()));
+        out.sort_unstable();
+        out.dedup();
+        let asked = self.asked.borrow();
+        out.retain(|it| !asked.contains(it));
+        out
+    }
+}
+
+/// Lends this instance's shares to limiters, for good.
+pub async fn run(inst: Rc<Instance>) {
+    loop {
+        sleep(inst.limit.pause(&inst)).await;
+        let limited = inst.desired().is_some_and(|it| it.organisations.is_some());
+        if !limited {
+            continue;
+        }
+        inst.limit.place(&inst);
+        inst.limit.limiter.borrow_mut().trim(inst.now());
+        for name in inst.limit.audience(&inst) {
+            if name == inst.settings.name {
+                lend_here(&inst);
+            } else {
+                inst.limit.asked.borrow_mut().push(name.clone());
+                tokio::task::spawn_local(lend(inst.clone(), name));
+            }
+        }
+    }
+}
+
+/// This instance is a limiter, for itself too.
+fn lend_here(inst: &Instance) {
+    let limit = &inst.limit;
+    let me = &inst.settings.name;
+    for _ in 0..2 {
+        let lending = limit.lending(inst, me);
+        let Told::Lent { slots, stamp, .. } = limit.lent(inst, &lending) else { return };
+        if !limit.took(me, lending.slots, slots, stamp) {
+            return;
+        }
+    }
+}
+
+/// Lends shares to another instance, or takes them back.
+async fn lend(inst: Rc<Instance>, to: Name) {
+    let limit = &inst.limit;
+    for _ in 0..2 {
+        let Some(peer) = inst.peer(&to) else { break };
+        let lending = limit.lending(&inst, &to);
+        let (sent, asked) = (lending.slots, inst.now());
+        match timeout(LIMIT, peer.ask(&inst, Ask::Lend(lending))).await {
+            Ok(Told::Lent { slots, stamp, leaving, count, confirmed }) => {
+                limit.answered.set(inst.now());
+                note(&limit.told, count as usize, inst.now());
+                hear(&inst, confirmed, asked);
+                let again = limit.took(&to, sent, slots, stamp);
+                if leaving {
+                    limit.set_unfit(&to, inst.now());
+                    break;
+                }
+                limit.unfit.borrow_mut().retain(|it| it.name != to);
+                if !again {
+                    break;
+                }
+            }
+            Ok(_) | Err(_) => {
+                limit.set_unfit(&to, inst.now());
+                break;
+            }
+        }
+    }
+    limit.asked.borrow_mut().retain(|it| *it != to);
+}
+
+/// Another instance has told, after it was asked, how long ago its configuration was the newest.
+fn hear(inst: &Instance, confirmed: Option<(u64, u32)>, asked: Micros) {
+    let known = inst.desired().map_or(0, |it| it.version);
+    if let Some((version, age_ms)) = confirmed
+        && version <= known
+    {
+        inst.confirm_desired(asked.saturating_sub(u64::from(age_ms) * 1_000));
+    }
+}
