Store calls: heartbeats, watches and watchers of a fleet stay as many as it grows

Ruled out: waiting for those who watch instead of reading at the start (it would hold up the return of all). Change: core::cadence. One heartbeat a second of the whole fleet at most (as before up to 30 instances); one instance of a zone watches; a watch lasts half of the time in which a change has to be in force (1.5 s of 3 s as before); a process finds the entry of an earlier one by its first look and writes it later, with one call. Each test fails with its part taken out: two watchers by the old count only above 32 instances, which the test doesn't reach; the conflict is seen on the old code.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 //! | [`route`] | which server answers a read |
 //! | [`balance`] | what a server costs at present |
 //! | [`place`] | home instances and their shares of connections |
+//! | [`cadence`] | how often instances call the store |
 //! | [`capacity`] | what an instance can carry |
 //! | [`admit`] | queues, fairness and learned limits |
 //! | [`budget`] | how long a statement may wait before a server has it |
@@ -46,6 +47,7 @@
 pub mod admit;
 pub mod balance;
 pub mod budget;
+pub mod cadence;
 pub mod capacity;
 pub mod chart;
 pub mod claim;
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -10,14 +10,12 @@
         ports::{Collection, InstanceRecord, Object, Objects, Record, StoreError},
         settings::GONE_AFTER,
     },
+    pondtrack_core::cadence,
     pondtrack_proto::{Name, Revision},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep},
 };
 
-/// The longest wait of one watch. A cut that hides its end is noticed after this long; a change has to be
-/// in force 3,000 ms after a cut of any length has been healed for 4,000 ms.
-const WATCH: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call, shortest and its spread in milliseconds: the store refuses at most for
 /// seconds, and each call has its price.
 const PAUSE: (u64, u64) = (150, 150);
@@ -30,9 +28,9 @@
 const IDLE: Duration = Duration::from_millis(250);
 /// Between two looks for servers that have left.
 const SWEEP: Duration = Duration::from_millis(500);
-/// Between two heartbeats of an instance. Only shares of connections and ways through others depend on
-/// them, and a dead instance is passed over long before.
-const HEARTBEAT: Duration = Duration::from_millis(30_000);
+/// A process that finds the entry of an earlier one of its name, which says the same, writes it again within this time, in
+/// milliseconds: where all start at once, they don't all write at once.
+const ENTRY_SPREAD: u64 = 10_000;
 /// Between two looks at the entries of all instances, which are read at a tenth of the price.
 const LOOK: Duration = Duration::from_millis(3_000);
 /// The same after the start, when the others come up as well.
@@ -42,8 +40,6 @@
 /// After the store came back from an older copy, instances whose entries it lacks count for as long as this: they write them
 /// again within a look of theirs.
 const REWRITE: Duration = Duration::from_millis(6_000);
-/// Looks without a change after which an instance doesn't count: two missed heartbeats and some room.
-const MISSED: u64 = 24;
 
 /// Keeps a collection up to date while this instance has to watch the store itself, for good.
 pub async fn follow(inst: Rc<Instance>, what: Collection) {
@@ -60,7 +56,7 @@
         let asked = inst.now();
         let got = match since {
             None => inst.edge.store.list(what, false).await,
-            Some(at) => inst.edge.store.watch(what, at, WATCH).await,
+            Some(at) => inst.edge.store.watch(what, at, watch_limit(&inst)).await,
         };
         inst.counters.one(Count::StoreCalls);
         inst.spread.watched(what, got.is_ok());
@@ -98,6 +94,12 @@
     }
 }
 
+/// The longest wait of one watch.
+fn watch_limit(inst: &Instance) -> Duration {
+    let bounds = inst.bounds.get();
+    cadence::watch(bounds.apply, bounds.revoke)
+}
+
 /// Takes objects in; `whole` says that whatever isn't among them doesn't exist.
 fn take(inst: &Rc<Instance>, what: Collection, objects: Objects, whole: bool) {
     let as_of = objects.as_of;
@@ -168,12 +170,16 @@
 /// Writes this instance's entry now and then, and counts the others: at the start, and as long as it watches the
 /// store. Else those that watch tell.
 pub async fn enlist(inst: Rc<Instance>) {
-    let mut entry = Entry { revision: None, written: None };
+    let mut entry = Entry::default();
     let mut known: Vec<(Name, Revision, u64)> = Vec::new();
     let mut look = 0;
     let mut era = (None, 0);
     loop {
-        entry.keep(&inst).await;
+        // An earlier process of the same name has most probably left an entry, which a look shows.
+        let unread = look == 0 && !inst.settings.first_start;
+        if !unread {
+            entry.keep(&inst).await;
+        }
         if inst.era() > era.0 {
             era = (inst.era(), inst.now());
         }
@@ -182,6 +188,7 @@
             inst.counters.one(Count::StoreCalls);
             match inst.edge.store.list(Collection::Instances, true).await {
                 Ok(it) => {
+                    entry.find(&inst, &it.items);
                     let mut peers = live(&mut known, &it.items, look);
                     if inst.now() - era.1 < micros(REWRITE) {
                         keep_others(&inst, &mut peers);
@@ -191,23 +198,50 @@
                 Err(e) => log::debug!("instances: {e}"),
             }
         }
+        if unread {
+            entry.keep(&inst).await;
+        }
         let pause = if look < FIRST_LOOKS { FIRST_LOOK } else { LOOK };
         sleep(pause + Duration::from_millis(inst.random(500))).await;
     }
 }
 
 /// This instance's own entry.
+#[derive(Default)]
 struct Entry {
     revision: Option<Revision>,
     written: Option<Instant>,
+    /// Until when the entry of an earlier process will do.
+    due: Option<Instant>,
 }
 
 impl Entry {
-    /// Writes the entry if a heartbeat is due.
-    async fn keep(&mut self, inst: &Instance) {
+    /// Takes in what an earlier process of the same name has left.
+    fn find(&mut self, inst: &Instance, items: &[Object]) {
+        if self.revision.is_some() {
+            return;
+        }
+        let Some(it) = items.iter().find(|it| it.name == inst.settings.name) else { return };
+        self.revision = Some(it.revision);
+        let own = &inst.settings;
+        let same = |it: &Record| matches!(it, Record::Instance(it) if it.zone == own.zone && it.addr == own.peer_addr);
+        if it.record.as_ref().is_some_and(same) {
+            self.due = Some(Instant::now() + Duration::from_millis(inst.random(ENTRY_SPREAD)));
+        }
+    }
+
+    /// Whether the entry is there and needn't be written yet.
+    fn is_fresh(&self, inst: &Instance) -> bool {
         // Where the store came back from an older copy, it may not be there any longer.
         let known = self.revision.is_some_and(|it| inst.era().is_none_or(|era| era <= it.era()));
-        if known && self.written.is_some_and(|at| at.elapsed() < HEARTBEAT) {
+        let heartbeat = cadence::heartbeat(inst.peers().map_or(0, |it| it.len()) + 1);
+        let written = self.written.is_some_and(|at| at.elapsed() < heartbeat);
+        known && (written || self.due.is_some_and(|it| Instant::now() < it))
+    }
+
+    /// Writes the entry if a heartbeat is due.
+    async fn keep(&mut self, inst: &Instance) {
+        if self.is_fresh(inst) {
             return;
         }
         // Once more if an earlier process of the same name has left an entry.
@@ -251,6 +285,7 @@
 /// The instances whose entries changed lately; `known` holds names, revisions and when they were new.
 fn live(known: &mut Vec<(Name, Revision, u64)>, items: &[Object], look: u64) -> Vec<Peer> {
     known.retain(|it| items.iter().any(|item| item.name == it.0));
+    let lapse = cadence::lapse(items.len(), LOOK);
     let mut peers = Vec::new();
     for item in items {
         let at = known.binary_search_by(|it| it.0.cmp(&item.name)).unwrap_or_else(|at| {
@@ -261,7 +296,7 @@
             known[at] = (item.name.clone(), item.revision, look);
         }
         match &item.record {
-            Some(Record::Instance(it)) if look - known[at].2 < MISSED => {
+            Some(Record::Instance(it)) if look - known[at].2 < lapse => {
                 peers.push(Peer::new(item.name.clone(), it.zone.clone(), it.addr));
             }
             _ => {}
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -1,6 +1,6 @@
 //! How the configuration and the directory reach instances that don't watch the store.
 //!
-//! A few instances of each availability zone watch the store. They tell all others regularly which revisions
+//! One instance of each availability zone watches the store, however many there are. They tell all others regularly which revisions
 //! they know; whoever knows an older one fetches the newer from them. One that is refused by the store says
 //! so, and the next in its zone watches as well. An instance that hears of nobody does so itself.
 
@@ -33,8 +33,6 @@
 /// Without a beat of one that can watch for this share of the same time an instance watches itself: two beats,
 /// and room for a call of the store.
 const LOST_SHARE: f64 = 0.6;
-/// Instances of a zone for each that watches; there is one at least.
-const WATCHERS_PER: usize = 32;
 /// What an instance of another availability zone tells is fetched from there only after this pause, where one of the own
 /// zone tells as well: those that watch hear of a change within a few milliseconds of each other, and bytes that cross
 /// zones cost more.
@@ -69,20 +67,12 @@
 impl Spread {
     /// Whether this instance is one of those that watch the store for all.
     pub fn is_watcher(&self, inst: &Instance) -> bool {
-        let (rank, watchers) = self.rank(inst);
-        rank < watchers
-    }
-
-    /// Its place among those of its availability zone that could watch the store, and how many of them do.
-    fn rank(&self, inst: &Instance) -> (usize, usize) {
-        let Some(peers) = inst.peers() else { return (0, 1) };
+        let Some(peers) = inst.peers() else { return true };
         let own = &inst.settings;
         let now = inst.now();
         let counts = |it: &&Rc<Peer>| it.zone == own.zone && !it.is_blind(now);
-        let zone: Vec<&Name> = peers.iter().filter(counts).map(|it| &it.name).collect();
         let mine = place::weight("watch", &own.name);
-        let before = zone.iter().filter(|it| place::weight("watch", it) > mine).count();
-        (before, 1 + zone.len() / WATCHERS_PER)
+        !peers.iter().filter(counts).any(|it| place::weight("watch", &it.name) > mine)
     }
 
     /// Whether this instance has to watch the store. One that has just started waits for those that do: all at once would
@@ -169,9 +159,7 @@
         let (Some(beat), Some(peers)) = (inst.spread.beat(&inst), inst.peers()) else {
             continue;
         };
-        // The first of each availability zone tells all, the others their own zone, so that nobody hears of many.
-        let first = inst.spread.rank(&inst).0 == 0;
-        for peer in peers.into_iter().filter(|it| first || it.zone == inst.settings.zone) {
+        for peer in peers {
             tokio::task::spawn_local(send(inst.clone(), peer, beat.clone()));
         }
         sleep(ROUND_PAUSE).await;
