Quotas: messages to limiters are paced, and the term grows with the fleet

Cause, by reasoning (not traced on a fleet): after a start of all each instance sent each of eight limiters a message every 50 ms until its shares were placed, with 150 ms for the answer. At 300 instances that is up to 6,000 messages a second at one limiter. Answers come late, count for nothing, and shares go on to the next limiter. In steady state a limiter has n / 0.4 s messages a second: 750 at 300, 1,900 at 760 (reckoned).

Change: core::quota::Pacing decides when an instance speaks to which limiter. First messages are dealt by place over 2n / 1,000 s, the period is the same time and 400 ms at least, a limiter without an answer is asked again after a doubling pause with jitter, the time for an answer grows with the fleet, and a claim without an answer makes a limiter lost only if nothing was heard for that long. The bound is 1,200 messages a second at one limiter.

The term had to grow: with 1.5 s, loans that are renewed before they end are more messages than the bound from some 500 instances on. It travels with the loan, and the lender's never falls within a process. Up to 200 instances period and term are as before. Cost: at 300 a lost limiter's shares are idle for up to 2.1 s (1.5 before), at 760 4.9 s. A loan counted from arrival, a term told longer than counted, a term that falls and a limiter that forgets a lender's newest message too soon are each found by the test.

Ruled out: not waiting for a limiter whose address refuses connections. A refusal shows that nobody listens, not that the process is gone: links that are open go on, and a cut may refuse. The bound goes first.

Tests: crates/core/tests/lending.rs (new), on a virtual clock with limiters that answer 1,200 a second: 9, 71, 300 and 760 instances that start within 0.3 s have all shares placed within 2 s of the first start and at most 1,200 messages in any second at one limiter; a limiter that is lost and comes back; no share used twice meanwhile.

--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -10,19 +10,26 @@
 //! | --- | --- |
 //! | [`Lender`] | where the shares of an instance are |
 //! | [`Limiter`] | what was lent to an instance, and the buckets that it fills |
+//! | [`Pacing`] | when an instance speaks to which limiter, and for how long it lends |
 //!
 //! What must hold, in any window: tokens granted by all limiters together stay within the rate times the window, the
 //! burst, [`Limits::margin`], and the tokens that come in within [`HOLD`]. Each start of a limiter's process in the
-//! window adds the margin once more, and each start of a lender's the tokens of its share within [`TERM`], if that was
+//! window adds the margin once more, and each start of a lender's the tokens of its share within a term, if that was
 //! with another than the usual limiter.
+//!
+//! The term is [`TERM`], and longer in a large fleet. The lender names it in each message and counts it from the time it
+//! sends that, the limiter from the earlier moment that it told: the limiter's is over first, whatever the term. A
+//! lender's terms never fall, so that none of its messages can lend for longer than a later one.
 
 mod lender;
 mod limiter;
+mod pacing;
 mod urgency;
 
 pub use self::{
     lender::Lender,
-    limiter::{Grant, Limiter},
+    limiter::{Grant, Limiter, Offer},
+    pacing::{ANSWERS, PATIENCE, PERIOD, Pacing},
     urgency::{Demand, Urgency},
 };
 
@@ -35,7 +42,7 @@
 /// [`TERM`], whatever the fleet's size.
 pub const SLOTS: usize = 8;
 
-/// How long a share is lent, in microseconds. A limiter that is lost takes its shares with it for as long.
+/// How long a share is lent at least, in microseconds. A limiter that is lost takes its shares with it for as long.
 pub const TERM: u64 = 1_500_000;
 
 /// A token may be granted this long before it comes in, in microseconds: its caller waits meanwhile, in order, in place
--- a/crates/core/src/quota/lender.rs
+++ b/crates/core/src/quota/lender.rs
@@ -10,8 +10,8 @@
 enum Place {
     /// With nobody.
     Free,
-    /// Until a time perhaps where an earlier process of this instance has lent it.
-    Unknown { until: u64 },
+    /// For a term from a time perhaps where an earlier process of this instance has lent it.
+    Unknown { since: u64 },
     /// With an instance, for all that this one knows, until a time.
     Lent { to: Name, until: u64 },
 }
@@ -20,12 +20,20 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Lender {
     places: [Place; SLOTS],
+    /// How long shares are lent. It never falls: a message with a longer one may be under way.
+    term: u64,
 }
 
 impl Lender {
     /// An instance that has just started. Another process of it may have lent its shares until a moment ago.
     pub fn new(now: u64) -> Lender {
-        Lender { places: std::array::from_fn(|_| Place::Unknown { until: now + TERM }) }
+        Lender { places: std::array::from_fn(|_| Place::Unknown { since: now }), term: TERM }
+    }
+
+    /// The term of the loans that follow, which their messages name: at least so long.
+    pub fn set_term(&mut self, least: u64) -> u64 {
+        self.term = self.term.max(least);
+        self.term
     }
 
     /// Lends a slot's share to an instance, or goes on to; false where another one may still use it. `usual` says that
@@ -35,11 +43,11 @@
     pub fn lend(&mut self, slot: usize, to: &Name, usual: bool, now: u64) -> bool {
         let is_held = match &self.places[slot] {
             Place::Free => false,
-            Place::Unknown { until } => !usual && *until > now,
+            Place::Unknown { since } => !usual && since + self.term > now,
             Place::Lent { to: it, until } => it != to && *until > now,
         };
         if !is_held {
-            self.places[slot] = Place::Lent { to: to.clone(), until: now + TERM };
+            self.places[slot] = Place::Lent { to: to.clone(), until: now + self.term };
         }
         !is_held
     }
@@ -68,13 +76,29 @@
         out
     }
 
-    /// An instance has said that it uses the shares of these slots alone.
-    pub fn returned(&mut self, from: &Name, kept: Slots) {
+    /// When shares that others may use can be lent to the instances that they are meant for.
+    pub fn frees(&self, meant: &[Name; SLOTS], now: u64) -> Vec<(Name, u64)> {
+        let free = |(place, meant): (&Place, &Name)| match place {
+            Place::Lent { to, until } if to != meant => Some((meant.clone(), *until)),
+            Place::Unknown { since } => Some((meant.clone(), since + self.term)),
+            Place::Lent { .. } | Place::Free => None,
+        };
+        let all = self.places.iter().zip(meant).filter_map(free);
+        all.filter(|it| it.1 > now).collect()
+    }
+
+    /// An instance has said that it uses the shares of these slots alone. Hands back those that came back.
+    pub fn returned(&mut self, from: &Name, kept: Slots) -> Slots {
+        let mut back = Slots::default();
         for (slot, place) in self.places.iter_mut().enumerate() {
             match place {
-                Place::Lent { to, .. } if to == from && !kept.contains(slot) => *place = Place::Free,
+                Place::Lent { to, .. } if to == from && !kept.contains(slot) => {
+                    *place = Place::Free;
+                    back.insert(slot);
+                }
                 Place::Lent { .. } | Place::Unknown { .. } | Place::Free => {}
             }
         }
+        back
     }
 }
--- a/crates/core/src/quota/limiter.rs
+++ b/crates/core/src/quota/limiter.rs
@@ -26,6 +26,19 @@
     },
 }
 
+/// What an instance lends: its share of these slots, and of no others.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    /// The slots.
+    pub slots: Slots,
+    /// The part of each limit.
+    pub share: f64,
+    /// The moment that it was told before, from which the term counts.
+    pub since: Option<Stamp>,
+    /// The term.
+    pub term: u64,
+}
+
 /// A share that was lent.
 #[derive(Clone, Debug)]
 struct Loan {
@@ -115,9 +128,15 @@
         since: Option<Stamp>,
         now: u64,
     ) -> Slots {
+        self.offered(lender, seq, Offer { slots, share, since, term: TERM }, now)
+    }
+
+    /// The same for a term that the lender names, and counts by itself.
+    pub fn offered(&mut self, lender: &Name, seq: u64, offer: Offer, now: u64) -> Slots {
+        let Offer { slots, share, since, term } = offer;
         let known = since.filter(|it| it.process == self.process && it.at <= now);
-        let until = known.map_or(0, |it| it.at + TERM);
-        let is_new = self.hear(lender, seq, now);
+        let until = known.map_or(0, |it| it.at.saturating_add(term));
+        let is_new = self.hear(lender, seq, now.saturating_add(term), now);
         let mut used = Slots::default();
         for (n, slot) in self.slots.iter_mut().enumerate() {
             slot.advance(now);
@@ -132,9 +151,9 @@
         used
     }
 
-    /// Takes in that a message has come; says whether none after it has.
-    fn hear(&mut self, lender: &Name, seq: u64, now: u64) -> bool {
-        let heard = Heard { lender: lender.clone(), seq, until: now + TERM };
+    /// Takes in that a message has come, before which none can lend after a time; says whether none after it has.
+    fn hear(&mut self, lender: &Name, seq: u64, until: u64, now: u64) -> bool {
+        let heard = Heard { lender: lender.clone(), seq, until };
         match self.heard.binary_search_by(|it| it.lender.cmp(lender)) {
             Ok(at) if self.heard[at].until > now && self.heard[at].seq >= seq => return false,
             Ok(at) => self.heard[at] = heard,
--- a/crates/engine/src/count.rs
+++ b/crates/engine/src/count.rs
@@ -35,6 +35,10 @@
     Unknown,
     /// Operations refused as their organisation had used its quota.
     OverLimit,
+    /// Messages of other instances that lend their shares of limits.
+    Lent,
+    /// Limiters that couldn't be reached, left, or did not answer a loan in time.
+    LimiterLost,
     /// Callers refused for their key.
     Denied,
     /// Connections to servers opened.
--- a/crates/engine/src/limit.rs
+++ b/crates/engine/src/limit.rs
@@ -11,7 +11,7 @@
         message::{Ask, Claim, Told},
         organisation::Owner,
     },
-    pondtrack_core::quota::{Grant, Lender, Limiter, Limits, SLOTS, Stamp, TERM, slot},
+    pondtrack_core::quota::{Grant, Lender, Limiter, Limits, Pacing, SLOTS, Stamp, TERM, slot},
     pondtrack_proto::Name,
     std::{
         cell::{Cell, RefCell},
@@ -76,12 +76,6 @@
     }
 }
 
-/// A limiter that doesn't answer.
-struct Unfit {
-    name: Name,
-    probed: Micros,
-}
-
 /// The limits of organisations, as one instance keeps them.
 pub struct Limit {
     lender: RefCell<Lender>,
@@ -92,9 +86,8 @@
     usual: RefCell<Option<[Name; SLOTS]>>,
     /// The last moments that limiters told, sorted by name.
     stamps: RefCell<Vec<(Name, Stamp)>>,
-    /// Limiters that owe the answer to a loan.
-    asked: RefCell<Vec<Name>>,
-    unfit: RefCell<Vec<Unfit>>,
+    /// When limiters are told something.
+    pacing: RefCell<Pacing>,
     /// Operations that wait, by limiter; a list that is there is being worked on.
     queues: RefCell<Vec<(Name, Vec<Waiting>)>>,
     /// Organisations without room, and until when.
@@ -119,8 +112,7 @@
             limiters: RefCell::default(),
             usual: RefCell::default(),
             stamps: RefCell::default(),
-            asked: RefCell::default(),
-            unfit: RefCell::default(),
+            pacing: RefCell::default(),
             queues: RefCell::default(),
             full: RefCell::default(),
             count: Cell::default(),
@@ -270,7 +262,7 @@
         let grants = match told {
             Some(Told::Granted(it)) if it.len() == claims.len() => it,
             _ => {
-                limit.set_unfit(&limiter, inst.now());
+                limit.pacing.borrow_mut().doubted(&limiter, inst.random(u64::MAX), inst.now());
                 limit.place(&inst);
                 vec![UNPLACED; claims.len()]
             }
--- a/crates/engine/src/limit/lending.rs
+++ b/crates/engine/src/limit/lending.rs
@@ -1,28 +1,27 @@
 //! Shares of limits: which instance is the limiter of which slot, and what is lent to it.
 
 use {
-    super::{LIMIT, Limit, START, Unfit, note},
+    super::{Limit, note},
     crate::{
+        count::Count,
         instance::{Instance, Micros, micros},
         message::{Ask, Lending, Told},
     },
     pondtrack_core::{
         place,
-        quota::{Slots, Stamp},
+        quota::{Offer, PERIOD, Slots, Stamp},
     },
     pondtrack_proto::Name,
     std::{rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
-/// Between two messages to a limiter: a loan outlasts two that are lost.
-const PERIOD: Duration = Duration::from_millis(400);
-/// The same until all shares are with their limiters, as after a start.
-const FIRST_PERIOD: Duration = Duration::from_millis(50);
-/// Between two questions to a limiter that did not answer, whether it does again.
-const PROBE: Duration = Duration::from_millis(1_000);
-/// An instance that no other answers for this long is its own limiter.
-const ALONE: Duration = Duration::from_millis(1_200);
+/// The longest time between two looks at which limiters there are, until all shares are with theirs.
+const FIRST_LOOK: Duration = Duration::from_millis(50);
+/// The shortest.
+const LEAST_LOOK: Duration = Duration::from_millis(5);
+/// An instance that no other answers for so many periods is its own limiter.
+const ALONE: u64 = 3;
 /// An instance that is new to the others counts itself as one of them only after this long: until then they divide the
 /// limits among fewer. They learn of each other within 7 s.
 const SETTLE: Duration = Duration::from_millis(8_000);
@@ -36,9 +35,13 @@
     pub fn lent(&self, inst: &Instance, it: &Lending) -> Told {
         let now = inst.now();
         let leaving = inst.leaving().is_some();
+        if it.from != inst.settings.name {
+            inst.counters.one(Count::Lent);
+        }
         let slots = if leaving { Slots::default() } else { it.slots };
         let mut limiter = self.limiter.borrow_mut();
-        let slots = limiter.lent(&it.from, it.seq, slots, it.share, it.since, now);
+        let offer = Offer { slots, share: it.share, since: it.since, term: it.term };
+        let slots = limiter.offered(&it.from, it.seq, offer, now);
         let version = inst.desired().map(|it| it.version);
         let age = inst.unconfirmed().map(|it| (it / 1_000) as u32);
         let count = self.count.get().most as u32;
@@ -51,10 +54,10 @@
         let now = inst.now();
         note(&self.count, peers.len() + 1, now);
         let me = &inst.settings.name;
-        let unfit = self.unfit.borrow();
+        let unfit: Vec<Name> = self.pacing.borrow().lost().cloned().collect();
         let silent = now.saturating_sub(self.answered.get());
-        let is_alone = !unfit.is_empty() && silent >= micros(ALONE);
-        let fits = |it: &Name| !is_alone && unfit.iter().all(|old| old.name != *it);
+        let is_alone = !unfit.is_empty() && silent >= ALONE * self.pacing.borrow().period();
+        let fits = |it: &Name| !is_alone && !unfit.contains(it);
         let others: Vec<&Name> = peers.iter().map(|it| &it.name).filter(|it| fits(it)).collect();
         let mine = (inst.leaving().is_none() || others.is_empty()).then_some(me);
         let first = |slot: usize, all: &mut dyn Iterator<Item = &Name>| {
@@ -64,7 +67,12 @@
         let fit = std::array::from_fn(|slot| first(slot, &mut others.iter().copied().chain(mine)));
         let all = || peers.iter().map(|it| &it.name).chain([me]);
         let usual = std::array::from_fn(|slot| first(slot, &mut all()));
-        *self.limiters.borrow_mut() = Some(fit);
+        let before = peers.partition_point(|it| it.name < *me);
+        let mut pacing = self.pacing.borrow_mut();
+        pacing.set_fleet(before, self.counted(now));
+        if let Some(old) = self.limiters.replace(Some(fit.clone())) {
+            pacing.moved(&old, &fit, now);
+        }
         *self.usual.borrow_mut() = Some(usual);
     }
 
@@ -75,8 +83,13 @@
         if !is_known || lonely && !inst.settings.first_start {
             return 0.0;
         }
+        1.0 / self.counted(now) as f64
+    }
+
+    /// How many instances share the limits.
+    fn counted(&self, now: Micros) -> usize {
         let told = Some(self.told.get()).filter(|it| !it.is_old(now)).map_or(0, |it| it.most);
-        1.0 / self.count.get().most.max(told).max(1) as f64
+        self.count.get().most.max(told).max(1)
     }
 
     /// A message for an instance: the shares of the slots that are meant for it.
@@ -85,6 +98,7 @@
         let stamps = self.stamps.borrow();
         let since = stamps.binary_search_by(|it| it.0.cmp(to)).ok().map(|at| stamps[at].1);
         let share = self.share(inst, now);
+        let term = self.lender.borrow_mut().set_term(self.pacing.borrow().term());
         let mut slots = Slots::default();
         if since.is_some()
             && share > 0.0
@@ -98,12 +112,17 @@
         }
         self.seq.set(self.seq.get().max(now) + 1);
         let from = inst.settings.name.clone();
-        Lending { from, seq: self.seq.get(), slots, share, since }
+        Lending { from, seq: self.seq.get(), slots, share, since, term }
     }
 
     /// An instance has answered a loan; says whether another message at once makes it whole.
-    fn took(&self, from: &Name, sent: Slots, used: Slots, stamp: Stamp) -> bool {
-        self.lender.borrow_mut().returned(from, used);
+    fn took(&self, from: &Name, sent: Slots, used: Slots, stamp: Stamp, now: Micros) -> bool {
+        let back = self.lender.borrow_mut().returned(from, used);
+        if let Some(limiters) = &*self.limiters.borrow() {
+            let mut pacing = self.pacing.borrow_mut();
+            let slots = limiters.iter().enumerate().filter(|it| back.contains(it.0));
+            slots.for_each(|it| pacing.hurry(it.1, now));
+        }
         let mut stamps = self.stamps.borrow_mut();
         let known = match stamps.binary_search_by(|it| it.0.cmp(from)) {
             Ok(at) => std::mem::replace(&mut stamps[at].1, stamp).process == stamp.process,
@@ -120,33 +139,33 @@
         let now = inst.now();
         let limiters = self.limiters.borrow();
         let placed = limiters.as_ref().is_some_and(|it| self.lender.borrow().is_placed(it, now));
-        if placed || self.share(inst, now) == 0.0 { PERIOD } else { FIRST_PERIOD }
-    }
-
-    pub(super) fn set_unfit(&self, name: &Name, now: Micros) {
-        let mut unfit = self.unfit.borrow_mut();
-        match unfit.iter_mut().find(|it| it.name == *name) {
-            Some(it) => it.probed = now,
-            None => unfit.push(Unfit { name: name.clone(), probed: now }),
-        }
+        let is_settled = placed || limiters.is_some() && self.share(inst, now) == 0.0;
+        let most = if is_settled { Duration::from_micros(PERIOD) } else { FIRST_LOOK };
+        let next = self.pacing.borrow().next(now).map_or(most, Duration::from_micros);
+        next.clamp(LEAST_LOOK, most)
     }
 
-    /// The instances that are to be told something now.
+    /// The instances that are to be told something now, besides this one.
     fn audience(&self, inst: &Instance) -> Vec<Name> {
         let now = inst.now();
         let Some(limiters) = self.limiters.borrow().clone() else { return Vec::new() };
-        let mut out = self.lender.borrow().misplaced(&limiters, now);
+        let lender = self.lender.borrow();
+        let mut pacing = self.pacing.borrow_mut();
+        let mut out = lender.misplaced(&limiters, now);
+        out.extend(pacing.lost().filter(|it| inst.peer(it).is_some()).cloned());
+        let frees = lender.frees(&limiters, now);
         out.extend(limiters);
-        let mut unfit = self.unfit.borrow_mut();
-        unfit.retain(|it| inst.peer(&it.name).is_some());
-        let probe = if now < micros(START) { FIRST_PERIOD } else { PROBE };
-        let due = unfit.iter().filter(|it| now.saturating_sub(it.probed) >= micros(probe));
-        out.extend(due.map(|it| it.name.clone()));
+        out.retain(|it| *it != inst.settings.name);
         out.sort_unstable();
         out.dedup();
-        let asked = self.asked.borrow();
-        out.retain(|it| !asked.contains(it));
-        out
+        frees.iter().for_each(|it| pacing.hurry(&it.0, it.1));
+        pacing.due(&out, now)
+    }
+
+    /// An instance can't be a limiter for now.
+    fn missed(&self, inst: &Instance, name: &Name) {
+        inst.counters.one(Count::LimiterLost);
+        self.pacing.borrow_mut().missed(name, inst.random(u64::MAX), inst.now());
     }
 }
 
@@ -160,13 +179,9 @@
         }
         inst.limit.place(&inst);
         inst.limit.limiter.borrow_mut().trim(inst.now());
+        lend_here(&inst);
         for name in inst.limit.audience(&inst) {
-            if name == inst.settings.name {
-                lend_here(&inst);
-            } else {
-                inst.limit.asked.borrow_mut().push(name.clone());
-                tokio::task::spawn_local(lend(inst.clone(), name));
-            }
+            tokio::task::spawn_local(lend(inst.clone(), name));
         }
     }
 }
@@ -178,7 +193,7 @@
     for _ in 0..2 {
         let lending = limit.lending(inst, me);
         let Told::Lent { slots, stamp, .. } = limit.lent(inst, &lending) else { return };
-        if !limit.took(me, lending.slots, slots, stamp) {
+        if !limit.took(me, lending.slots, slots, stamp, inst.now()) {
             return;
         }
     }
@@ -191,28 +206,32 @@
         let Some(peer) = inst.peer(&to) else { break };
         let lending = limit.lending(&inst, &to);
         let (sent, asked) = (lending.slots, inst.now());
-        match timeout(LIMIT, peer.ask(&inst, Ask::Lend(lending))).await {
+        let patience = Duration::from_micros(limit.pacing.borrow().patience());
+        match timeout(patience, peer.ask(&inst, Ask::Lend(lending))).await {
             Ok(Told::Lent { slots, stamp, leaving, count, confirmed }) => {
                 limit.answered.set(inst.now());
                 note(&limit.told, count as usize, inst.now());
                 hear(&inst, confirmed, asked);
-                let again = limit.took(&to, sent, slots, stamp);
+                let again = limit.took(&to, sent, slots, stamp, inst.now());
                 if leaving {
-                    limit.set_unfit(&to, inst.now());
+                    limit.missed(&inst, &to);
                     break;
                 }
-                limit.unfit.borrow_mut().retain(|it| it.name != to);
+                let was_lost = limit.pacing.borrow_mut().answered(&to, inst.now());
+                if was_lost {
+                    limit.place(&inst);
+                }
                 if !again {
                     break;
                 }
             }
             Ok(_) | Err(_) => {
-                limit.set_unfit(&to, inst.now());
+                limit.missed(&inst, &to);
                 break;
             }
         }
     }
-    limit.asked.borrow_mut().retain(|it| *it != to);
+    limit.pacing.borrow_mut().ended(&to);
 }
 
 /// Another instance has told, after it was asked, how long ago its configuration was the newest.
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -135,6 +135,8 @@
     pub share: f64,
     /// The moment that the other one told last, from which the term counts.
     pub since: Option<Stamp>,
+    /// The term, in microseconds.
+    pub term: u64,
 }
 
 /// Operations of an organisation that wait to run.
