Placement: instances are chosen by their strength

Cause: homes, substitutes, limiters, dispatchers and watchers were found by names alone, on a fleet where a few instances have six times the processor and twenty times the link of the others.

Change: weighted rendezvous hashing (score -weight / ln(u)). The weight is that of the scarcer of processor and link, each beside the least that any instance states, 8 at most (a strong one that is lost moves what it was chosen for all at once; six times as strong is the widest known, the rest is room). Resources come from the settings file's table, which is optional and may be unreadable, and travel with an instance's entry and in what instances tell each other. Where all weigh the same, the hash alone decides, as before. An unstated resource counts as the smallest. The PostgreSQL side is unchanged, and so are the homes' even shares of connections.

Ruled out: scores of real numbers where all weigh the same (rounding could turn an order around); a bound on what one instance is home for (needs all subjects in one order, and a move moves others): left out.

Tests: core/tests/place.rs (new): 9, 58, 120 and 300 instances, one of twenty six times as strong, 20,000 subjects: each instance's part of limiters, dispatchers and homes is its weight's within five standard deviations; one weight that changes, or an instance that leaves, moves only what that one had; equal capacities (none, all small, all strong, half stated, other memory) give the order of names on rank, best and order for 1 to 120 instances and 400 subjects. Red: weight 1 for all, and a score of 0 (proportion, moves, weights); hashes the other way round (equality). platform/tests/capacity.rs (new): five instances on stand-ins, two of which state nothing, agree on limiters and the dispatcher, and differ from the order of names. Changed tests: input.rs (the property over records has the capacity), names.rs (four names more that only the platform's crate may know), records and settings in stand-ins have the new field.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -5,6 +5,7 @@
 
 use {
     pondtrack_proto::{GroupSpec, MemberState, MemberView, Name},
+    std::cmp::Reverse,
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -43,7 +44,7 @@
         // No instance lives beside a server; any will do.
         out.extend(winner(&spec.name, members.iter()));
     }
-    out.sort_by_key(|it| (std::cmp::Reverse(weight(&spec.name, &it.name)), it.name.clone()));
+    out.sort_by_key(|it| (Reverse(weight(&spec.name, &it.name)), it.name.clone()));
     out.truncate(MAX_HOMES);
     out.into_iter().map(|it| it.name.clone()).collect()
 }
@@ -88,16 +89,58 @@
     }
 }
 
+/// An instance that can be chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate<'a> {
+    /// Its name.
+    pub name: &'a Name,
+    /// Its availability zone.
+    pub zone: &'a Name,
+    /// How often it is chosen beside others; above zero.
+    pub weight: f64,
+}
+
+impl<'a> Candidate<'a> {
+    /// Sorts it among others, the winner first.
+    fn rank(&self, subject: &str, is_even: bool) -> (Reverse<u64>, Reverse<u64>, &'a Name) {
+        let hash = weight(subject, self.name);
+        // Scores are above zero, where the order of their bits is theirs.
+        let score = if is_even { 0 } else { self.score(hash).to_bits() };
+        (Reverse(score), Reverse(hash), self.name)
+    }
+
+    /// Where it comes for a subject: the highest wins. What it wins is in proportion to its weight, and a change of one
+    /// instance's weight moves only what that one wins or had.
+    fn score(&self, hash: u64) -> f64 {
+        // Halves above whole numbers of 52 bits, in (0, 1) and exact.
+        let at = ((hash >> 12) as f64 + 0.5) / (1_u64 << 52) as f64;
+        -self.weight / at.ln()
+    }
+}
+
+/// Sorts instances by how they come for a subject, the winner first. Where all weigh the same this is the order of
+/// [`weight`].
+pub fn order(subject: &str, all: &mut [Candidate<'_>]) {
+    let is_even = is_even(all);
+    all.sort_by_cached_key(|it| it.rank(subject, is_even));
+}
+
+/// The instance that wins a subject.
+pub fn best<'a>(subject: &str, all: &[Candidate<'a>]) -> Option<&'a Name> {
+    let is_even = is_even(all);
+    all.iter().min_by_key(|it| it.rank(subject, is_even)).map(|it| it.name)
+}
+
+fn is_even(all: &[Candidate<'_>]) -> bool {
+    all.windows(2).all(|it| it[0].weight == it[1].weight)
+}
+
 /// Instances in the order in which they are homes of a subject: those of its zone first, then by weight.
-pub fn rank<'a>(
-    subject: &str,
-    zone: &str,
-    instances: impl Iterator<Item = (&'a Name, &'a Name)>,
-) -> Vec<Name> {
-    let weighed = instances.map(|(name, at)| (at != zone, std::cmp::Reverse(weight(subject, name)), name));
-    let mut out: Vec<_> = weighed.collect();
-    out.sort_unstable();
-    out.into_iter().map(|it| it.2.clone()).collect()
+pub fn rank<'a>(subject: &str, zone: &str, instances: impl Iterator<Item = Candidate<'a>>) -> Vec<Name> {
+    let mut all: Vec<Candidate<'a>> = instances.collect();
+    order(subject, &mut all);
+    all.sort_by_key(|it| it.zone != zone);
+    all.into_iter().map(|it| it.name.clone()).collect()
 }
 
 /// The few instances that hold the platform's watches: one in each availability zone.
--- a/crates/engine/src/document.rs
+++ b/crates/engine/src/document.rs
@@ -178,7 +178,8 @@
                 Ok(())
             }
             Document::Members(all) => {
-                inst.set_peers(all.into_iter().map(|it| Peer::new(it.name, it.zone, it.addr)).collect());
+                let peer = |it: Member| Peer::new(it.name, it.zone, it.addr).with_capacity(it.capacity);
+                inst.set_peers(all.into_iter().map(peer).collect());
                 Ok(())
             }
         }
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -216,6 +216,7 @@
                 beat: inst.now(),
                 zone: inst.settings.zone.clone(),
                 addr: inst.settings.peer_addr,
+                capacity: inst.settings.capacity,
             };
             inst.counters.one(Count::StoreCalls);
             let name = inst.settings.name.clone();
@@ -243,7 +244,8 @@
 fn keep_others(inst: &Instance, peers: &mut Vec<Peer>) {
     for it in inst.peers().into_iter().flatten() {
         if let Err(at) = peers.binary_search_by(|peer| peer.name.cmp(&it.name)) {
-            peers.insert(at, Peer::new(it.name.clone(), it.zone.clone(), it.addr));
+            let peer = Peer::new(it.name.clone(), it.zone.clone(), it.addr);
+            peers.insert(at, peer.with_capacity(it.capacity));
         }
     }
 }
@@ -262,7 +264,8 @@
         }
         match &item.record {
             Some(Record::Instance(it)) if look - known[at].2 < MISSED => {
-                peers.push(Peer::new(item.name.clone(), it.zone.clone(), it.addr));
+                let peer = Peer::new(item.name.clone(), it.zone.clone(), it.addr);
+                peers.push(peer.with_capacity(it.capacity));
             }
             _ => {}
         }
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -20,7 +20,8 @@
     },
     pondtrack_core::{
         balance::{Average, Averages},
-        place,
+        capacity::{Capacity, Smallest},
+        place::{self, Candidate},
     },
     pondtrack_proto::{Name, Revision},
     rand::{RngExt, SeedableRng},
@@ -82,7 +83,8 @@
 }
 
 fn same(a: &[Rc<Peer>], b: &[Rc<Peer>]) -> bool {
-    a.len() == b.len() && a.iter().zip(b).all(|(a, b)| a.name == b.name && a.zone == b.zone)
+    let same = |a: &Peer, b: &Peer| a.name == b.name && a.zone == b.zone && a.capacity == b.capacity;
+    a.len() == b.len() && a.iter().zip(b).all(|(a, b)| same(a, b))
 }
 
 /// The state of an instance.
@@ -103,6 +105,8 @@
     groups: RefCell<Vec<Rc<Group>>>,
     /// Other live instances, sorted by name; none until they were counted.
     peers: RefCell<Option<Vec<Rc<Peer>>>>,
+    /// The least that any instance can carry.
+    smallest: Cell<Smallest>,
     /// Counts up whenever shares of connections may have changed.
     placement: Cell<u64>,
     /// The directory of servers, sorted by id; none until it was read.
@@ -150,6 +154,7 @@
             desired: RefCell::default(),
             groups: RefCell::default(),
             peers: RefCell::default(),
+            smallest: Cell::default(),
             placement: Cell::new(1),
             directory: RefCell::default(),
             unreadable: RefCell::default(),
@@ -367,10 +372,15 @@
     /// All live instances with this one, sorted by name; none until they were counted.
     pub fn members(&self) -> Option<Vec<Member>> {
         let own = &self.settings;
-        let me = Member { name: own.name.clone(), zone: own.zone.clone(), addr: own.peer_addr };
+        let (name, zone) = (own.name.clone(), own.zone.clone());
+        let me = Member { name, zone, addr: own.peer_addr, capacity: own.capacity };
         let others = self.peers()?;
-        let others =
-            others.iter().map(|it| Member { name: it.name.clone(), zone: it.zone.clone(), addr: it.addr });
+        let others = others.iter().map(|it| Member {
+            name: it.name.clone(),
+            zone: it.zone.clone(),
+            addr: it.addr,
+            capacity: it.capacity,
+        });
         let mut all: Vec<Member> = others.chain([me]).collect();
         all.sort_unstable();
         Some(all)
@@ -388,13 +398,16 @@
     pub fn set_peers(&self, mut peers: Vec<Peer>) {
         peers.retain(|it| it.name != self.settings.name);
         let keep = |it: Peer| match self.peer(&it.name) {
-            Some(old) if old.addr == it.addr && old.zone == it.zone => old,
+            Some(old) if old.addr == it.addr && old.zone == it.zone && old.capacity == it.capacity => old,
             _ => Rc::new(it),
         };
         let peers: Vec<Rc<Peer>> = peers.into_iter().map(keep).collect();
+        let capacities = peers.iter().map(|it| it.capacity).chain([self.settings.capacity]);
+        self.smallest.set(Smallest::of(capacities.flatten()));
         let old = self.peers.replace(Some(peers.clone()));
         if old.as_ref().map(Vec::len) != Some(peers.len()) {
-            log::info!(others = peers.len(); "instances counted");
+            let weight = self.own_candidate().weight;
+            log::info!(others = peers.len(), weight; "instances counted");
         }
         let first = old.is_none();
         if old.is_none_or(|old| !same(&old, &peers)) {
@@ -405,6 +418,30 @@
         }
     }
 
+    /// Another instance as one that can be chosen.
+    pub fn candidate<'a>(&self, it: &'a Peer) -> Candidate<'a> {
+        self.weigh(&it.name, &it.zone, it.capacity)
+    }
+
+    /// The same of this one.
+    pub fn own_candidate(&self) -> Candidate<'_> {
+        self.weigh(&self.settings.name, &self.settings.zone, self.settings.capacity)
+    }
+
+    /// Sorts other instances by how they come for a subject; one that is gone counts as small.
+    pub fn order(&self, subject: &str, names: &mut [Name]) {
+        let old = names.to_vec();
+        let zone = Name::new();
+        let capacity = |it: &Name| self.peer(it).and_then(|it| it.capacity);
+        let mut all: Vec<Candidate<'_>> = old.iter().map(|it| self.weigh(it, &zone, capacity(it))).collect();
+        place::order(subject, &mut all);
+        all.iter().zip(names).for_each(|(it, name)| *name = it.name.clone());
+    }
+
+    fn weigh<'a>(&self, name: &'a Name, zone: &'a Name, capacity: Option<Capacity>) -> Candidate<'a> {
+        Candidate { name, zone, weight: self.smallest.get().weight(capacity) }
+    }
+
     /// Has it worked out anew who has a share of each server's connections, when it is next wanted: of hundreds of
     /// servers an instance uses few.
     fn share_out(&self) {
@@ -428,8 +465,7 @@
 
     fn share(&self, up: &Upstream, conns: usize, peers: &[Rc<Peer>]) {
         let entry = up.entry();
-        let me = (&self.settings.name, &self.settings.zone);
-        let all = peers.iter().map(|it| (&it.name, &it.zone)).chain([me]);
+        let all = peers.iter().map(|it| self.candidate(it)).chain([self.own_candidate()]);
         let mut ranked = place::rank(&entry.id, &entry.zone, all.clone());
         up.set_dispatcher(ranked.first().filter(|it| **it != self.settings.name).cloned());
         let n = place::spread(conns, peers.len() + 1);
--- a/crates/engine/src/limit/lending.rs
+++ b/crates/engine/src/limit/lending.rs
@@ -8,7 +8,7 @@
         message::{Ask, Lending, Told},
     },
     pondtrack_core::{
-        place,
+        place::{self, Candidate},
         quota::{Offer, PERIOD, Slots, Stamp},
     },
     pondtrack_proto::Name,
@@ -58,15 +58,19 @@
         let silent = now.saturating_sub(self.answered.get());
         let is_alone = !unfit.is_empty() && silent >= ALONE * self.pacing.borrow().period();
         let fits = |it: &Name| !is_alone && !unfit.contains(it);
-        let others: Vec<&Name> = peers.iter().map(|it| &it.name).filter(|it| fits(it)).collect();
-        let mine = (inst.leaving().is_none() || others.is_empty()).then_some(me);
-        let first = |slot: usize, all: &mut dyn Iterator<Item = &Name>| {
-            let subject = format!("limit {slot}");
-            all.max_by_key(|it| place::weight(&subject, it)).unwrap_or(me).clone()
+        let own = inst.own_candidate();
+        let mut all: Vec<Candidate<'_>> = peers.iter().map(|it| inst.candidate(it)).collect();
+        let mut others = all.clone();
+        others.retain(|it| fits(it.name));
+        if inst.leaving().is_none() || others.is_empty() {
+            others.push(own);
+        }
+        all.push(own);
+        let first = |slot: usize, all: &[Candidate<'_>]| {
+            place::best(&format!("limit {slot}"), all).unwrap_or(me).clone()
         };
-        let fit = std::array::from_fn(|slot| first(slot, &mut others.iter().copied().chain(mine)));
-        let all = || peers.iter().map(|it| &it.name).chain([me]);
-        let usual = std::array::from_fn(|slot| first(slot, &mut all()));
+        let fit = std::array::from_fn(|slot| first(slot, &others));
+        let usual = std::array::from_fn(|slot| first(slot, &all));
         let before = peers.partition_point(|it| it.name < *me);
         let mut pacing = self.pacing.borrow_mut();
         pacing.set_fleet(before, self.counted(now));
@@ -76,6 +80,11 @@
         *self.usual.borrow_mut() = Some(usual);
     }
 
+    /// The limiter of each slot, as this instance finds it; none before the others were counted.
+    pub fn limiters(&self) -> Option<Vec<Name>> {
+        self.limiters.borrow().as_ref().map(|it| it.to_vec())
+    }
+
     /// This instance's share of each limit.
     fn share(&self, inst: &Instance, now: Micros) -> f64 {
         let is_known = !self.new.get() || now >= micros(SETTLE);
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -14,6 +14,7 @@
     },
     bytes::{Bytes, BytesMut},
     pondtrack_core::{
+        capacity::Capacity,
         quota::{Grant, Slots, Stamp},
         turn::Rank,
     },
@@ -93,6 +94,8 @@
     pub zone: Name,
     /// Where it answers.
     pub addr: SocketAddrV4,
+    /// What it can carry, where it states that.
+    pub capacity: Option<Capacity>,
 }
 
 /// What an instance wants of another.
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -6,6 +6,7 @@
         link::Link,
         message::{Ask, Told},
     },
+    pondtrack_core::capacity::Capacity,
     pondtrack_proto::Name,
     std::{
         cell::{Cell, RefCell},
@@ -34,6 +35,8 @@
     pub zone: Name,
     /// Where it answers.
     pub addr: SocketAddrV4,
+    /// What it can carry, where it states that.
+    pub capacity: Option<Capacity>,
     avoid: Cell<Micros>,
     failures: Cell<u32>,
     /// Until when it counts as unable to watch the store.
@@ -49,6 +52,7 @@
             name,
             zone,
             addr,
+            capacity: None,
             avoid: Cell::default(),
             failures: Cell::default(),
             blind: Cell::default(),
@@ -57,6 +61,11 @@
         }
     }
 
+    /// The same with what it can carry.
+    pub fn with_capacity(self, capacity: Option<Capacity>) -> Peer {
+        Peer { capacity, ..self }
+    }
+
     /// Whether it may be asked now.
     pub fn is_usable(&self, now: Micros) -> bool {
         self.avoid.get() <= now
--- a/crates/engine/src/ports.rs
+++ b/crates/engine/src/ports.rs
@@ -17,7 +17,7 @@
     strum::{Display, IntoStaticStr},
 };
 
-pub use pondtrack_core::{leader::Leader, lease::LeaseRecord};
+pub use pondtrack_core::{capacity::Capacity, leader::Leader, lease::LeaseRecord};
 
 /// Bytes that are not a message of the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -110,6 +110,9 @@
     pub zone: Name,
     /// Where it answers other instances.
     pub addr: SocketAddrV4,
+    /// What it can carry, where it states that.
+    #[serde(default)]
+    pub capacity: Option<Capacity>,
 }
 
 /// What an object in the store holds.
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -1,6 +1,7 @@
 //! Timeouts, limits and weights of the engine, each with where its figure comes from.
 
 use {
+    pondtrack_core::capacity::Capacity,
     pondtrack_proto::Name,
     std::{net::SocketAddrV4, time::Duration},
 };
@@ -16,6 +17,8 @@
     pub peer_addr: SocketAddrV4,
     /// Whether there was no instance before this one and those that start with it.
     pub first_start: bool,
+    /// What it can carry, where that is stated.
+    pub capacity: Option<Capacity>,
 }
 
 /// Times that the platform promises and expects; they may change while an instance runs.
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -13,7 +13,7 @@
         peer::Peer,
         ports::Collection,
     },
-    pondtrack_core::place,
+    pondtrack_core::place::{self, Candidate},
     pondtrack_proto::Name,
     std::{
         cell::{Cell, RefCell},
@@ -79,10 +79,11 @@
         let own = &inst.settings;
         let now = inst.now();
         let counts = |it: &&Rc<Peer>| it.zone == own.zone && !it.is_blind(now);
-        let zone: Vec<&Name> = peers.iter().filter(counts).map(|it| &it.name).collect();
-        let mine = place::weight("watch", &own.name);
-        let before = zone.iter().filter(|it| place::weight("watch", it) > mine).count();
-        (before, 1 + zone.len() / WATCHERS_PER)
+        let others = peers.iter().filter(counts).map(|it| inst.candidate(it));
+        let mut zone: Vec<Candidate<'_>> = others.chain([inst.own_candidate()]).collect();
+        place::order("watch", &mut zone);
+        let before = zone.iter().take_while(|it| *it.name != own.name).count();
+        (before, 1 + (zone.len() - 1) / WATCHERS_PER)
     }
 
     /// Whether this instance has to watch the store. One that has just started waits for those that do: all at once would
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -18,13 +18,11 @@
     },
     pondtrack_core::{
         balance::{Average, Lag, Pace},
-        place,
         recovery::Recovery,
     },
     pondtrack_proto::Name,
     std::{
         cell::{Cell, RefCell},
-        cmp::Reverse,
         rc::Rc,
         time::Duration,
     },
@@ -400,7 +398,7 @@
         let mut ranked: Vec<Name> = self.ranked.borrow().iter().take(homes + SUBSTITUTES).cloned().collect();
         if let Owner::Organisation(owner) = owner {
             let n = homes.min(ranked.len());
-            ranked[..n].sort_by_key(|it| Reverse(place::weight(owner, it)));
+            inst.order(owner, &mut ranked[..n]);
         }
         let mut full = false;
         for (at, name) in ranked.iter().enumerate() {
--- a/crates/pondtrackd/src/hosted.rs
+++ b/crates/pondtrackd/src/hosted.rs
@@ -117,6 +117,7 @@
         zone: boot.zone.clone(),
         peer_addr: boot.peer_addr(),
         first_start: boot.first_start,
+        capacity: boot.limits.map(|it| it.capacity()),
     };
     let inst = Instance::new(own, reload::bounds(&boot), edge);
     let callers = listen("callers", boot.listen.callers).await?;
--- a/crates/pondtrackd/src/reload.rs
+++ b/crates/pondtrackd/src/reload.rs
@@ -1,7 +1,7 @@
 //! Settings of an instance on the platform that change while it runs.
 //!
 //! The file is read again at SIGHUP, and when it looks changed: the platform may replace it without a signal.
-//! Times take effect at once. Addresses and names take effect at the next start; a file that can't be used
+//! Times take effect at once. Addresses, names and resources take effect at the next start; a file that can't be used
 //! changes nothing.
 
 use {
@@ -46,14 +46,14 @@
 
 fn take(inst: &Instance, old: &Boot, new: &Boot) {
     inst.bounds.set(bounds(new));
-    let addresses = (&old.name, &old.listen, &old.platform, &old.orders)
-        != (&new.name, &new.listen, &new.platform, &new.orders);
+    let later = (&old.name, &old.listen, &old.platform, &old.orders, &old.limits)
+        != (&new.name, &new.listen, &new.platform, &new.orders, &new.limits);
     log::info!(
         grace_ms = new.bounds.grace.as_millis() as u64,
         drain_ms = new.bounds.drain.as_millis() as u64,
         apply_ms = new.bounds.apply.as_millis() as u64,
         changed = old != new,
-        at_next_start = addresses;
+        at_next_start = later;
         "settings read again"
     );
 }
