--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -224,7 +224,10 @@
         let Some(it) = items.iter().find(|it| it.name == inst.settings.name) else { return };
         self.revision = Some(it.revision);
         let own = &inst.settings;
-        let same = |it: &Record| matches!(it, Record::Instance(it) if it.zone == own.zone && it.addr == own.peer_addr);
+        let says_the_same = |it: &InstanceRecord| {
+            it.zone == own.zone && it.addr == own.peer_addr && it.capacity == own.capacity
+        };
+        let same = |it: &Record| matches!(it, Record::Instance(it) if says_the_same(it));
         if it.record.as_ref().is_some_and(same) {
             self.due = Some(Instant::now() + Duration::from_millis(inst.random(ENTRY_SPREAD)));
         }
@@ -250,6 +253,7 @@
                 beat: inst.now(),
                 zone: inst.settings.zone.clone(),
                 addr: inst.settings.peer_addr,
+                capacity: inst.settings.capacity,
             };
             inst.counters.one(Count::StoreCalls);
             let name = inst.settings.name.clone();
@@ -277,7 +281,8 @@
 fn keep_others(inst: &Instance, peers: &mut Vec<Peer>) {
     for it in inst.peers().into_iter().flatten() {
         if let Err(at) = peers.binary_search_by(|peer| peer.name.cmp(&it.name)) {
-            peers.insert(at, Peer::new(it.name.clone(), it.zone.clone(), it.addr));
+            let peer = Peer::new(it.name.clone(), it.zone.clone(), it.addr);
+            peers.insert(at, peer.with_capacity(it.capacity));
         }
     }
 }
@@ -297,7 +302,8 @@
         }
         match &item.record {
             Some(Record::Instance(it)) if look - known[at].2 < lapse => {
-                peers.push(Peer::new(item.name.clone(), it.zone.clone(), it.addr));
+                let peer = Peer::new(item.name.clone(), it.zone.clone(), it.addr);
+                peers.push(peer.with_capacity(it.capacity));
             }
             _ => {}
         }
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -13,7 +13,7 @@
         peer::Peer,
         ports::Collection,
     },
-    pondtrack_core::place,
+    pondtrack_core::place::{self, Candidate},
     pondtrack_proto::Name,
     std::{
         cell::{Cell, RefCell},
@@ -71,8 +71,9 @@
         let own = &inst.settings;
         let now = inst.now();
         let counts = |it: &&Rc<Peer>| it.zone == own.zone && !it.is_blind(now);
-        let mine = place::weight("watch", &own.name);
-        !peers.iter().filter(counts).any(|it| place::weight("watch", &it.name) > mine)
+        let others = peers.iter().filter(counts).map(|it| inst.candidate(it));
+        let zone: Vec<Candidate<'_>> = others.chain([inst.own_candidate()]).collect();
+        place::best("watch", &zone) == Some(&own.name)
     }
 
     /// Whether this instance has to watch the store. One that has just started waits for those that do: all at once would
