--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -11,6 +11,11 @@
 //! | [`Lender`] | where the shares of an instance are |
 //! | [`Limiter`] | what was lent to an instance, and the buckets that it fills |
 //! | [`Pacing`] | when an instance speaks to which limiter, and for how long it lends |
+//! | [`Demand`] | what is claimed, and how urgent it is |
+//! | [`Places`] | when those may come back that were refused |
+//!
+//! Where more is claimed than comes in, tokens are kept for more urgent operations, and a part for the least urgent ones.
+//! That only refuses, and changes nothing of what a bucket holds.
 //!
 //! What must hold, in any window: tokens granted by all limiters together stay within the rate times the window, the
 //! burst, [`Limits::margin`], and the tokens that come in within [`HOLD`]. Each start of a limiter's process in the
@@ -21,14 +26,17 @@
 //! sends that, the limiter from the earlier moment that it told: the limiter's is over first, whatever the term. A
 //! lender's terms never fall, so that none of its messages can lend for longer than a later one.
 
+mod grant;
 mod lender;
 mod limiter;
 mod pacing;
+mod reserve;
 mod urgency;
 
 pub use self::{
+    grant::{Grant, LONGEST, Places},
     lender::Lender,
-    limiter::{Grant, Limiter, Offer},
+    limiter::{Limiter, Offer},
     pacing::{ANSWERS, PATIENCE, PERIOD, Pacing},
     urgency::{Demand, Urgency},
 };
--- a/crates/core/tests/lending.rs
+++ b/crates/core/tests/lending.rs
@@ -4,7 +4,7 @@
 use {
     pondtrack_core::{
         place,
-        quota::{ANSWERS, Lender, Limiter, Limits, Offer, Pacing, SLOTS, Slots, Stamp, TERM, slot},
+        quota::{ANSWERS, Demand, Lender, Limiter, Limits, Offer, Pacing, SLOTS, Slots, Stamp, TERM, slot},
     },
     pondtrack_proto::Name,
     rand::{Rng, RngExt, SeedableRng},
@@ -344,7 +344,7 @@
                 let now = self.clock(at);
                 let it = &mut self.members[at];
                 if it.start.is_some() {
-                    it.limiter.claim(&organisation, LIMITS, 1, now);
+                    it.limiter.claim(&organisation, LIMITS, Demand::plain(1), now);
                     sum += it.limiter.share(&organisation);
                 }
             }
@@ -531,7 +531,7 @@
         }
         let organisation = organisation(0);
         limiters.iter_mut().for_each(|it| {
-            it.claim(&organisation, LIMITS, 1, now);
+            it.claim(&organisation, LIMITS, Demand::plain(1), now);
         });
         if limiters.iter().all(|it| it.share(&organisation) > 0.0) {
             return true;
