Waits end with the budget; callers that leave give back their places

Cause: a statement was held for 0.4 of its route's limit for a turn or a connection and for all of it for evidence and a primary, each anew. And a caller that closed while its statement waited was noticed only afterwards: it kept its place in every queue, here and at other instances.

What no server has isn't tried again after the objective, unless there is no primary. Waits for evidence and a primary end at their end, no longer up to 25 or 60 ms later.

Change, callers: while a statement is answered its session reads on and keeps what comes (16 KiB). engine::progress says whether a server may have the statement; a wait of one that has left is dropped, with its place among those that wait for a turn. Link::put gives a question that is cancelled when dropped; Served keeps which runs and turns it works on, drops those of which no server has anything, and answers them as refused. A transaction that begins while nobody wants it any longer is rolled back; before, it rested on its link until that closed.

Half-closed callers: an end of stream doesn't tell them from those that have left. What a server may have is answered in any case, also through another instance. What waits is given up only where callers compete for quotas, since the protocol knows no sessions that only listen; without quotas it is served as before. A reset connection has left everywhere.

Ruled out: dropping the relayed statement at once (a running write would lose its answer); a cancel without an answer (the same); to keep waiting for the half-closed within the budget (its place is what others lack).

Counters: held_evidence, held_primary, held_turn, held_connection, left_waiting, cancelled.

--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -12,13 +12,14 @@
         organisation::Owner,
         pool::{Denied, Lease, Want},
         ports::{Forward, Text},
+        progress::Progress,
         session::Prepared,
         settings::{ANSWER_BACK, PREPARED_MOST},
         turnstile::{Permit, Turn},
         upstream::Upstream,
     },
     bytes::BytesMut,
-    pondtrack_core::turn::Rank,
+    pondtrack_core::{budget::Wait, turn::Rank},
     pondtrack_proto::{Mark, Name},
     snafu::Snafu,
     std::{rc::Rc, time::Duration},
@@ -42,6 +43,8 @@
     pub overdue: Duration,
     /// When nobody waits any longer.
     pub end: Instant,
+    /// Learns how far it comes; none where nobody may leave.
+    pub progress: Option<&'a Progress>,
 }
 
 /// What is sent to a server.
@@ -120,7 +123,7 @@
     /// The server has too much to do to answer in time.
     Refused,
     /// There is no turn, or no connection, in time.
-    Late(&'static str),
+    Late(Wait),
     /// The server has no connection to spare, and this instance has none.
     Full,
     /// The server can't be reached.
@@ -130,7 +133,7 @@
 impl From<Denied> for NoWay {
     fn from(it: Denied) -> NoWay {
         match it {
-            Denied::Busy => NoWay::Late("no connection is free"),
+            Denied::Busy => NoWay::Late(Wait::Connection),
             Denied::Full => NoWay::Full,
             Denied::Unreachable(e) => NoWay::Unreachable(e),
         }
@@ -149,7 +152,7 @@
     match turn(inst, up, rank, slow, until).await {
         Turn::Granted(it) => Ok(Some(it)),
         Turn::Refused => Err(NoWay::Refused),
-        Turn::Late => Err(NoWay::Late("too much to do")),
+        Turn::Late => Err(NoWay::Late(Wait::Turn)),
     }
 }
 
@@ -165,13 +168,15 @@
     pinned: bool,
     /// Whether the server had a queue at the last answer.
     queued: bool,
+    /// Whether an answer is owed, after which a transaction may rest on it.
+    asked: bool,
 }
 
 impl Relayed {
     /// A stream over a link; nothing is sent yet.
     pub fn new(peer: Name, link: Rc<Link>, server: ServerRun, owner: Owner, until: Instant) -> Relayed {
         let stream = link.stream();
-        Relayed { peer, link, stream, server, owner, until, pinned: false, queued: false }
+        Relayed { peer, link, stream, server, owner, until, pinned: false, queued: false, asked: false }
     }
 
     fn set_pinned(&mut self, pinned: bool) {
@@ -183,6 +188,27 @@
         self.pinned = pinned;
     }
 
+    /// Asks the other instance. Where the caller leaves meanwhile, that one is told, and answers all the same: what it has
+    /// sent is left to end.
+    async fn ask(&self, ask: Ask, progress: Option<&Progress>) -> Told {
+        let question = self.link.put(ask);
+        let Some(progress) = progress else { return question.answer().await };
+        progress.relay();
+        let id = question.id();
+        let answer = question.answer();
+        tokio::pin!(answer);
+        let told = tokio::select! {
+            biased;
+            it = &mut answer => it,
+            () = progress.left() => {
+                self.link.cancel(id);
+                answer.await
+            }
+        };
+        progress.relayed(told.may_have_run());
+        told
+    }
+
     async fn run(&mut self, inst: &Instance, it: Sending<'_>) -> Result<Answer, RunError> {
         let left = |until: Instant| until.saturating_duration_since(Instant::now()).as_millis() as u32;
         let what = match it.what {
@@ -207,7 +233,10 @@
             named: it.named.cloned(),
             what,
         };
-        match self.link.ask(Ask::Run(Box::new(run))).await {
+        self.asked = true;
+        let told = self.ask(Ask::Run(Box::new(run)), it.progress).await;
+        self.asked = false;
+        match told {
             Told::Answer { answer, queued } => {
                 self.queued = queued;
                 self.set_pinned(answer.txn != TxnState::Idle);
@@ -234,10 +263,10 @@
 
 impl Drop for Relayed {
     fn drop(&mut self) {
-        if self.pinned {
+        if self.pinned || self.asked {
             self.link.drop_stream(self.stream);
-            self.link.unpin();
         }
+        self.set_pinned(false);
     }
 }
 
@@ -345,6 +374,10 @@
     it: Sending<'_>,
     sent: &mut bool,
 ) -> Result<Answer, RunError> {
+    // A connection that is being prepared is of use only when that has ended.
+    if let Some(progress) = it.progress {
+        progress.send();
+    }
     if let Some(values) = it.values
         && !align(inst, lease, values, it.named).await
     {
--- a/crates/engine/src/count.rs
+++ b/crates/engine/src/count.rs
@@ -64,6 +64,18 @@
     /// Changes of primary after which acknowledged writes may be lost: a replica came back with nothing and the primary
     /// was lost before another replica had all.
     Losses,
+    /// Statements refused as their group's state was not known by the end of their budget.
+    HeldEvidence,
+    /// The same for a primary.
+    HeldPrimary,
+    /// The same for a turn at a server.
+    HeldTurn,
+    /// The same for a connection.
+    HeldConnection,
+    /// Callers that left while their statement waited; it did not run.
+    LeftWaiting,
+    /// Questions of other instances that were cancelled before a server had anything of them.
+    Cancelled,
     /// Log lines that were left out.
     LogsDropped,
 }
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -25,7 +25,7 @@
     },
     tokio::{
         sync::Notify,
-        time::{Instant, sleep, timeout},
+        time::{Instant, sleep, timeout, timeout_at},
     },
 };
 
@@ -190,7 +190,7 @@
                 return None;
             }
             // What is not answered is asked again by `renew`.
-            let _ = timeout(ASK_OTHERS, changed).await;
+            let _ = timeout_at(end.min(Instant::now() + ASK_OTHERS), changed).await;
         }
     }
 
@@ -274,7 +274,7 @@
             if Instant::now() >= end {
                 return None;
             }
-            if timeout(PRIMARY_PAUSE, changed).await.is_err() {
+            if timeout_at(end.min(Instant::now() + PRIMARY_PAUSE), changed).await.is_err() {
                 self.ask_all(inst.now().saturating_sub(micros(PRIMARY_PAUSE)));
             }
         }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`session`], [`statement`], [`read`], [`write`](mod@write), [`txn`] | callers |
 //! | [`lease`], [`takeover`] | the right to give orders, and changes of primary |
 //! | [`leaders`] | the record of who led each group |
+//! | [`progress`] | how far a statement has come, for whoever waits for its answer |
 //! | [`unreadable`] | objects of the store that can't be read |
 //! | [`count`], [`report`] | counters and histograms, and a line that shows them |
 
@@ -49,6 +50,7 @@
 pub mod peer;
 pub mod pool;
 pub mod ports;
+pub mod progress;
 pub mod read;
 pub mod relay;
 pub mod report;
--- a/crates/engine/src/link.rs
+++ b/crates/engine/src/link.rs
@@ -129,18 +129,29 @@
         self.tell(Message::Drop { stream });
     }
 
+    /// Tells that what a question asks for needn't begin. It is answered all the same.
+    pub fn cancel(&self, id: u64) {
+        self.tell(Message::Cancel { id });
+    }
+
     /// Asks for something.
     pub async fn ask(&self, ask: Ask) -> Told {
+        self.put(ask).answer().await
+    }
+
+    /// Asks for something, and lets the answer come.
+    pub fn put(&self, ask: Ask) -> Question<'_> {
         let id = self.stream();
+        let waits = ask.waits();
         let (answer, got) = oneshot::channel();
         if !self.open.get() || self.out.send(Message::Ask { id, ask }).is_err() {
-            return Told::NotSent("the link is closed".to_owned());
+            return Question { link: self, id, waits: false, got: None };
         }
         if self.pending.borrow().is_empty() {
             self.look();
         }
         self.pending.borrow_mut().push((id, answer));
-        got.await.unwrap_or_else(|_| Told::Broken("the link broke".to_owned()))
+        Question { link: self, id, waits, got: Some(got) }
     }
 
     async fn receive(self: Rc<Self>, mut reader: Reader) {
@@ -212,6 +223,39 @@
     }
 }
 
+/// A question that was asked. Dropped before its answer came, it is cancelled.
+pub struct Question<'a> {
+    link: &'a Link,
+    id: u64,
+    /// Whether it may wait for something there.
+    waits: bool,
+    /// Its answer; none where it couldn't be asked.
+    got: Option<oneshot::Receiver<Told>>,
+}
+
+impl Question<'_> {
+    /// Its answer.
+    pub async fn answer(mut self) -> Told {
+        let Some(got) = &mut self.got else { return Told::NotSent("the link is closed".to_owned()) };
+        let told = got.await.unwrap_or_else(|_| Told::Broken("the link broke".to_owned()));
+        self.waits = false;
+        told
+    }
+
+    /// Its number, by which it can be cancelled while its answer is waited for.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        if self.waits {
+            self.link.cancel(self.id);
+        }
+    }
+}
+
 /// Looks at bytes as they come.
 type Note = Box<dyn FnMut(&[u8])>;
 /// The receiving half of a link.
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -314,6 +314,23 @@
     Elsewhere(Option<Name>),
 }
 
+impl Ask {
+    /// Whether it may wait for a turn or a connection, and be cancelled meanwhile.
+    pub fn waits(&self) -> bool {
+        match self {
+            Ask::Run(_) | Ask::Turn(_) => true,
+            Ask::Fetch(_) | Ask::Lend(_) | Ask::Claim(_) | Ask::State { .. } | Ask::Order { .. } => false,
+        }
+    }
+}
+
+impl Told {
+    /// Whether a server may have what was asked to be run.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self, Told::NotSent(_) | Told::Busy | Told::Refused | Told::Gone)
+    }
+}
+
 impl Message {
     /// Appends it with its length.
     pub fn encode(&self, out: &mut BytesMut) {
--- a/crates/engine/src/model.rs
+++ b/crates/engine/src/model.rs
@@ -342,6 +342,11 @@
         Some(&self.routes[at])
     }
 
+    /// Whether organisations have quotas, so that their callers compete for room.
+    pub fn is_limited(&self) -> bool {
+        self.organisations.as_ref().is_some_and(Organisations::is_limited)
+    }
+
     /// Whose a caller with a key is on a route; none where it isn't allowed there.
     pub fn owner(&self, key: &KeyHash, route: &Route) -> Option<Owner> {
         let Some(organisations) = &self.organisations else { return Some(Owner::Shared) };
--- a/crates/engine/src/organisation.rs
+++ b/crates/engine/src/organisation.rs
@@ -84,6 +84,8 @@
     all: Vec<Organisation>,
     /// Which of them has a key; sorted by key.
     keys: Vec<(KeyHash, usize)>,
+    /// Whether any of them has a quota.
+    limited: bool,
 }
 
 impl From<Vec<Organisation>> for Organisations {
@@ -110,7 +112,8 @@
         let shared: Vec<KeyHash> =
             keys.windows(2).filter(|it| it[0].0 == it[1].0).map(|it| it[0].0).collect();
         keys.retain(|it| shared.binary_search(&it.0).is_err());
-        Organisations { all, keys }
+        let limited = all.iter().any(|it| it.quota.is_some());
+        Organisations { all, keys, limited }
     }
 
     /// All, sorted by name.
@@ -118,6 +121,11 @@
         &self.all
     }
 
+    /// Whether any of them has a quota.
+    pub fn is_limited(&self) -> bool {
+        self.limited
+    }
+
     /// The organisation that has a key.
     pub fn of_key(&self, key: &KeyHash) -> Option<&Organisation> {
         let at = self.keys.binary_search_by(|it| it.0.cmp(key)).ok()?;
--- a/crates/engine/src/read.rs
+++ b/crates/engine/src/read.rs
@@ -68,6 +68,11 @@
 }
 
 impl Tries {
+    /// Whether there were some, and no server has run the read.
+    fn are_vain(&self) -> bool {
+        !self.tried.is_empty() && self.failed.is_none() && !self.lost
+    }
+
     /// The answer to a read that is given up.
     fn outcome(self, why: &str) -> Answer {
         match self.failed {
@@ -91,6 +96,9 @@
         let mut hedge = Some(self.arrived);
         while tries.tried.len() < TRIES && Instant::now() < self.end {
             if flights.is_empty() {
+                if tries.are_vain() && self.gives_up(&group) {
+                    break;
+                }
                 match self.launch(session, &group, &mut tries.tried).await {
                     Ok(it) => flights.push(it),
                     Err(Miss::Late(why)) => return tries.outcome(why),
@@ -165,10 +173,7 @@
         };
         let up = match up {
             Some(it) => it,
-            None => group
-                .wait_primary(&self.inst, self.end)
-                .await
-                .ok_or(Miss::Late("the group has no primary"))?,
+            None => self.primary(group).await?,
         };
         // It may have become known, or taken another's place, only after the read had come.
         let term = group.term();
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -4,6 +4,7 @@
     crate::{
         ask::give_direct,
         channel::{Channel, Direct, NoWay, Sending, What},
+        count::Count,
         dispatch::{TURN_MOST, tell_homes},
         group::Group,
         handout,
@@ -14,6 +15,7 @@
         organisation::Owner,
         pool::Want,
         ports::{Forward, Text},
+        progress::Progress,
         session::Prepared,
         settings::ASK_WAIT,
         spread,
@@ -44,6 +46,16 @@
     streams: RefCell<Vec<(u64, Channel)>>,
     /// Turns that the other side has.
     turns: RefCell<Vec<(u64, Permit)>>,
+    /// Questions that are being worked on and may be cancelled.
+    asked: RefCell<Vec<Asked>>,
+}
+
+/// A question that is being worked on.
+struct Asked {
+    id: u64,
+    /// The transaction that it begins or goes on with; none for a turn.
+    stream: Option<u64>,
+    progress: Rc<Progress>,
 }
 
 /// Accepts links of other instances until this instance ends.
@@ -53,7 +65,13 @@
 
 async fn serve(inst: Rc<Instance>, stream: TcpStream) {
     let Halves { mut reader, out, heard } = halves(stream, inst.clock);
-    let it = Rc::new(Served { inst, out, streams: RefCell::default(), turns: RefCell::default() });
+    let it = Rc::new(Served {
+        inst,
+        out,
+        streams: RefCell::default(),
+        turns: RefCell::default(),
+        asked: RefCell::default(),
+    });
     while let Some(bytes) = it.receive(&mut reader, &heard).await {
         let goes_on = Message::decode(&bytes).is_some_and(|message| it.take_in(message));
         if !goes_on {
@@ -84,29 +102,66 @@
     /// Takes a message in; says whether the link goes on.
     fn take_in(self: &Rc<Self>, message: Message) -> bool {
         match message {
-            Message::Ask { id, ask } => drop(tokio::task::spawn_local(self.clone().answer(id, ask))),
+            Message::Ask { id, ask } => drop(tokio::task::spawn_local(self.clone().attend(id, ask))),
             Message::Crowded { server } => {
                 if let Some((_, up)) = find(&self.inst, &server) {
                     up.crowd(self.inst.now());
                 }
             }
             Message::EndTurn { turn } => self.end_turn(turn),
-            Message::Drop { stream } => drop(self.take_stream(stream)),
+            Message::Drop { stream } => self.drop_stream(stream),
             Message::Beat(it) => drop(tokio::task::spawn_local(spread::heard(self.inst.clone(), it))),
+            // One that was answered meanwhile isn't known any longer.
+            Message::Cancel { id } => self.cancel(id),
             // On a closed link nobody waits for it.
-            // What has begun is left to end.
-            Message::Cancel { .. } => {}
             Message::Ping => drop(self.out.send(Message::Pong)),
             Message::Told { .. } | Message::Pong => return false,
         }
         true
     }
 
-    async fn answer(self: Rc<Self>, id: u64, ask: Ask) {
+    /// Answers a question, unless it is cancelled before a server has anything of it.
+    async fn attend(self: Rc<Self>, id: u64, ask: Ask) {
+        if !ask.waits() {
+            return self.answer(id, ask, &Progress::default()).await;
+        }
+        let stream = match &ask {
+            Ask::Run(it) => Some(it.stream),
+            _ => None,
+        };
+        let progress = Rc::new(Progress::default());
+        self.asked.borrow_mut().push(Asked { id, stream, progress: progress.clone() });
+        tokio::select! {
+            biased;
+            () = self.answer(id, ask, &progress) => {}
+            () = progress.given_up() => {
+                self.inst.counters.one(Count::Cancelled);
+                self.tell(id, Told::Refused);
+            }
+        }
+        self.asked.borrow_mut().retain(|it| it.id != id);
+    }
+
+    /// Nobody waits for an answer.
+    fn cancel(&self, id: u64) {
+        if let Some(it) = self.asked.borrow().iter().find(|it| it.id == id) {
+            it.progress.leave();
+        }
+    }
+
+    /// A transaction was given up, be it while a statement of it is at its server.
+    fn drop_stream(&self, stream: u64) {
+        drop(self.take_stream(stream));
+        for it in self.asked.borrow().iter().filter(|it| it.stream == Some(stream)) {
+            it.progress.drop_stream();
+        }
+    }
+
+    async fn answer(&self, id: u64, ask: Ask, progress: &Progress) {
         let inst = &self.inst;
         let told = match ask {
-            Ask::Run(it) => self.run(*it).await,
-            Ask::Turn(it) => return self.grant(id, it).await,
+            Ask::Run(it) => self.run(*it, progress).await,
+            Ask::Turn(it) => return self.grant(id, it, progress).await,
             Ask::Fetch(it) => handout::answer(inst, it).await,
             Ask::Lend(it) => inst.limit.lent(inst, &it),
             Ask::Claim(it) => inst.limit.claimed(inst, &it),
@@ -123,7 +178,7 @@
     }
 
     /// Hands out a turn, and takes it back after a while in any case.
-    async fn grant(&self, id: u64, it: TurnWish) {
+    async fn grant(&self, id: u64, it: TurnWish, progress: &Progress) {
         let inst = &self.inst;
         let Some((_, up)) = find(inst, &it.server) else {
             self.tell(id, Told::NotSent("unknown server".to_owned()));
@@ -136,6 +191,7 @@
         let until = Instant::now() + Duration::from_millis(it.wait_ms.into());
         match up.shared.enter(rank, Some(it.slow), until).await {
             Turn::Granted(permit) => {
+                progress.send();
                 // A link that has closed meanwhile needs no turn.
                 if self.tell(id, Told::Turn { turn: id, crowded: up.shared.is_crowded() }) {
                     self.turns.borrow_mut().push((id, permit));
@@ -164,7 +220,7 @@
         streams.insert(at, (stream, channel));
     }
 
-    async fn run(&self, it: Run) -> Told {
+    async fn run(&self, it: Run, progress: &Progress) -> Told {
         let inst = &self.inst;
         let now = Instant::now();
         let end = now + Duration::from_millis(it.left_ms.into());
@@ -197,6 +253,7 @@
             slow,
             overdue: up.overdue(sent),
             end,
+            progress: Some(progress),
         };
         let answer = match channel.run(inst, sending).await {
             Ok(it) => it,
@@ -208,8 +265,8 @@
         up.judge(inst, &group, &answer, Exchange { sent, slow, direct: true });
         match answer.txn {
             TxnState::Idle => channel.give_back(),
-            // A link that has closed meanwhile takes its transactions with it.
-            TxnState::Open | TxnState::Failed if !self.out.is_closed() => {
+            // One that was given up meanwhile is rolled back, as are those of a link that has closed.
+            TxnState::Open | TxnState::Failed if !self.out.is_closed() && !progress.is_dropped() => {
                 channel.pin();
                 self.put_stream(it.stream, channel);
             }
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -7,6 +7,7 @@
         instance::{Instance, Micros, accept_all},
         model::{Access, Answer, CallerMessage, Code, Route, Statement, TxnState, Verb},
         organisation::{CallerKey, KeyHash, Owner},
+        progress::Progress,
         settings::{ROTATION_LIMIT, SESSION_NAMES},
         statement::{self, Work},
         txn::Txn,
@@ -35,6 +36,8 @@
 const KEEPALIVE_AGAIN: (Duration, u32) = (Duration::from_secs(5), 3);
 /// The first size of a session's buffer, in bytes: most statements are smaller.
 const BUFFER: usize = 512;
+/// Bytes of further statements that are taken while one is being answered; a caller that sends more is looked after then.
+const READ_AHEAD: usize = 16 << 10;
 
 /// A named statement of a session.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,6 +68,8 @@
     pub mark: Option<(Mark, Micros)>,
     /// Its transaction.
     pub txn: Txn,
+    /// How far its statement has come.
+    progress: Rc<Progress>,
 }
 
 /// Accepts callers until this instance ends.
@@ -116,7 +121,10 @@
         loop {
             let open = session.txn.is_open();
             let answer = match self.next(open).await? {
-                Next::Message(CallerMessage::Statement(it)) => session.answer(it).await,
+                Next::Message(CallerMessage::Statement(it)) => match self.attend(&mut session, it).await {
+                    Some(it) => it,
+                    None => break,
+                },
                 Next::Message(CallerMessage::Malformed(why)) => {
                     Answer::error(Code::Malformed, why, session.txn.state())
                 }
@@ -195,6 +203,56 @@
         }
     }
 
+    /// Answers a statement; none where its caller has left before a server had it.
+    async fn attend(&mut self, session: &mut Session, it: Statement) -> Option<Answer> {
+        // Flights of an earlier one may still be out.
+        let progress = Rc::new(Progress::default());
+        session.progress = progress.clone();
+        let answer = session.answer(it);
+        tokio::pin!(answer);
+        tokio::select! {
+            biased;
+            it = &mut answer => return Some(it),
+            () = self.left() => progress.leave(),
+        }
+        let answer = tokio::select! {
+            biased;
+            it = &mut answer => Some(it),
+            () = progress.given_up() => None,
+        };
+        // Another instance that gave it up has it refused.
+        if progress.is_untried() {
+            self.inst.counters.one(Count::LeftWaiting);
+        }
+        answer
+    }
+
+    /// Waits until the caller has left. What it sends meanwhile is kept.
+    ///
+    /// A connection that was reset has no caller. One whose stream has ended may have one that still reads: it gets the
+    /// answer to what a server has. The protocol knows no half-closed sessions, so where callers compete for room, what
+    /// still waits is given up; elsewhere its place costs nobody anything.
+    async fn left(&mut self) {
+        loop {
+            if self.buf.len() >= READ_AHEAD {
+                return future::pending().await;
+            }
+            match self.read().await {
+                Err(_) => return,
+                Ok(0) if self.inst.desired().is_some_and(|it| it.is_limited()) => return,
+                Ok(0) => return future::pending().await,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    async fn read(&mut self) -> io::Result<usize> {
+        if self.buf.capacity() - self.buf.len() < BUFFER / 2 {
+            self.buf.reserve(BUFFER);
+        }
+        self.stream.read_buf(&mut self.buf).await
+    }
+
     /// The caller's next message; none when it has closed.
     async fn message(&mut self) -> io::Result<Option<CallerMessage>> {
         loop {
@@ -209,10 +267,7 @@
                     return Ok(None);
                 }
             }
-            if self.buf.capacity() - self.buf.len() < BUFFER / 2 {
-                self.buf.reserve(BUFFER);
-            }
-            if self.stream.read_buf(&mut self.buf).await? == 0 {
+            if self.read().await? == 0 {
                 return Ok(None);
             }
         }
@@ -262,6 +317,7 @@
             prepared: Vec::new(),
             mark: None,
             txn: Txn::None,
+            progress: Rc::default(),
         }
     }
 
@@ -344,7 +400,10 @@
             (Verb::Begin(_), true) => {
                 Answer::error(Code::Malformed, "a transaction is open already", self.txn.state())
             }
-            (Verb::Rollback, true) => self.txn.rollback().await,
+            (Verb::Rollback, true) => {
+                self.progress.send();
+                self.txn.rollback().await
+            }
             (Verb::Rollback, false) => {
                 self.txn = Txn::None;
                 Answer::done(TxnState::Idle)
@@ -378,7 +437,7 @@
             self.inst.counters.one(Count::Denied);
             return Err(denied());
         };
-        Ok(Work::new(self.inst.clone(), route, owner, it, named, arrived))
+        Ok(Work::new(self.inst.clone(), route, owner, it, named, arrived, self.progress.clone()))
     }
 
     /// How its database is served; a changed route applies from the next transaction on.
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -105,9 +105,6 @@
 pub const SLOW_SHARE: f64 = 0.25;
 /// What a transaction counts among those that wait to begin, in statements: callers' have up to twelve.
 pub const TXN_STATEMENTS: u64 = 4;
-/// The share of a route's time limit for which a statement waits for a busy server. Callers try three
-/// times and give up after about three such limits; less than half of that is the most they should wait for nothing.
-pub const HOLD_SHARE: f64 = 0.4;
 /// When to come back after a refusal, in milliseconds.
 pub const COME_BACK_MS: u64 = 100;
 /// Time until the platform sends no new sessions: two misses of a question each second.
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -11,14 +11,19 @@
         organisation::Owner,
         pool::Want,
         ports::{Forward, Text},
+        progress::Progress,
         session::{Prepared, Session, text},
-        settings::{AGE_MARGIN, COME_BACK_MS, HOLD_SHARE, PATIENCE, SLOW_SHARE, TXN_STATEMENTS},
+        settings::{AGE_MARGIN, COME_BACK_MS, PATIENCE, SLOW_SHARE, TXN_STATEMENTS},
         upstream::{Exchange, Upstream},
     },
     bytes::Bytes,
-    pondtrack_core::{retry::Backoff, turn::Rank},
+    pondtrack_core::{
+        budget::{Allowance, Budget, Rule, Wait},
+        retry::Backoff,
+        turn::Rank,
+    },
     pondtrack_proto::Mark,
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
     tokio::time::{Instant, sleep_until, timeout},
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -41,6 +46,10 @@
     pub since: Micros,
     /// When it has to be answered.
     pub end: Instant,
+    /// How long it may wait before a server has it.
+    budget: Cell<Budget>,
+    /// How far it has come.
+    progress: Rc<Progress>,
 }
 
 /// A statement with all that goes along to a server.
@@ -53,6 +62,7 @@
     rank: Rank,
     slow: Micros,
     end: Instant,
+    progress: Rc<Progress>,
 }
 
 impl Parcel {
@@ -82,6 +92,7 @@
             slow: self.slow,
             overdue: up.overdue(inst.now()),
             end: self.end,
+            progress: Some(&self.progress),
         };
         let work = channel.run(inst, sending);
         tokio::pin!(work);
@@ -157,17 +168,24 @@
         it: &'a Statement,
         named: Option<Prepared>,
         arrived: Instant,
+        progress: Rc<Progress>,
     ) -> Work<'a> {
         let since = inst.now();
         let end = arrived + route.timeout;
-        Work { inst, route, it, owner, named, arrived, since, end }
+        let allowance =
+            Allowance { arrived: since, objective: micros(route.objective), limit: micros(route.timeout) };
+        let limited = inst.desired().is_some_and(|it| it.is_limited());
+        let rule = if limited { Rule::Objective } else { Rule::Limit };
+        let budget = Cell::new(Budget::new(allowance, rule));
+        Work { inst, route, it, owner, named, arrived, since, end, budget, progress }
     }
 
     /// What the read has to show.
     pub async fn need(&self, session: &Session, group: &Group) -> Result<Need, Miss> {
         let Some(age) = self.route.policy.age() else { return Ok(Need { mark: None, since: 0 }) };
-        let needed = group.needed(&self.inst, age.saturating_sub(AGE_MARGIN), self.end).await;
-        let (since, mark) = needed.ok_or(Miss::Late("the group's state isn't known"))?;
+        let needed =
+            group.needed(&self.inst, age.saturating_sub(AGE_MARGIN), self.until(Wait::Evidence)).await;
+        let (since, mark) = needed.ok_or_else(|| self.late(Wait::Evidence))?;
         let own = session.mark.filter(|_| matches!(self.route.policy, ReadPolicy::OwnWrites(_)));
         match own {
             Some((own, at)) if own.lsn > mark.lsn => Ok(Need { mark: Some(own), since: at }),
@@ -175,6 +193,14 @@
         }
     }
 
+    /// A primary that answers.
+    pub async fn primary(&self, group: &Group) -> Result<Rc<Upstream>, Miss> {
+        let found = group.wait_primary(&self.inst, self.until(Wait::Primary)).await;
+        let it = found.ok_or_else(|| self.late(Wait::Primary))?;
+        self.budget.set(self.budget.get().found_primary(self.inst.now()));
+        Ok(it)
+    }
+
     /// A way to a server.
     pub async fn reach(&self, session: &Session, up: &Rc<Upstream>, until: Instant) -> Result<Channel, Miss> {
         let until = until.min(self.end).min(self.hold());
@@ -197,7 +223,7 @@
         match Direct::reach(&self.inst, up, Some(self.rank_at(up)), self.slow(), want).await {
             Ok(it) => Ok(Channel::Direct(it)),
             Err(NoWay::Refused) => Err(Miss::Late(NO_TIME)),
-            Err(NoWay::Late(why)) if self.is_held() => Err(Miss::Late(why)),
+            Err(NoWay::Late(wait)) if self.is_held() => Err(self.late(wait)),
             Err(NoWay::Late(_)) => Err(Miss::Again),
             Err(NoWay::Full) => self.relay(up, until).await,
             Err(NoWay::Unreachable(e)) => {
@@ -218,7 +244,29 @@
     /// Until when a statement waits for a server that has too much to do; then its caller is told to come
     /// back.
     fn hold(&self) -> Instant {
-        self.arrived + self.route.timeout.mul_f64(HOLD_SHARE)
+        self.until(Wait::Turn).min(self.until(Wait::Connection))
+    }
+
+    fn until(&self, wait: Wait) -> Instant {
+        self.arrived + Duration::from_micros(self.budget.get().until(wait) - self.since)
+    }
+
+    /// Whether a statement that no server has run is not tried again. A change of primary is waited for all the same.
+    pub fn gives_up(&self, group: &Group) -> bool {
+        self.budget.get().is_spent(self.inst.now()) && group.primary().is_some()
+    }
+
+    /// It has waited in vain.
+    fn late(&self, wait: Wait) -> Miss {
+        let (count, why) = match wait {
+            Wait::Quota => (Count::OverLimit, "the organisation has used its quota"),
+            Wait::Evidence => (Count::HeldEvidence, "the group's state isn't known"),
+            Wait::Primary => (Count::HeldPrimary, "the group has no primary"),
+            Wait::Turn => (Count::HeldTurn, "too much to do"),
+            Wait::Connection => (Count::HeldConnection, "no connection is free"),
+        };
+        self.inst.counters.one(count);
+        Miss::Late(why)
     }
 
     /// Whether it has waited for as long as that.
@@ -258,6 +306,7 @@
             rank: self.rank(),
             slow: self.slow(),
             end: self.end,
+            progress: self.progress.clone(),
         }
     }
 
--- a/crates/engine/src/turnstile.rs
+++ b/crates/engine/src/turnstile.rs
@@ -88,6 +88,7 @@
         if self.turns.borrow_mut().start() {
             return Turn::Granted(self.permit(slow));
         }
+        let _place = Place(self);
         let (turn, got) = oneshot::channel();
         self.turns.borrow_mut().wait(rank, now, turn);
         // What can't be in time any longer is told so while its caller can still try elsewhere.
@@ -99,8 +100,11 @@
                 Turn::Granted(it)
             }
             Ok(Err(_)) | Err(_) => {
-                self.turns.borrow_mut().retain(|it| !it.is_closed());
-                if aim.is_some() { Turn::Refused } else { Turn::Late }
+                if aim.is_some() {
+                    Turn::Refused
+                } else {
+                    Turn::Late
+                }
             }
         }
     }
@@ -128,6 +132,15 @@
     }
 }
 
+/// A place among those that wait. It is given back by those that have stopped waiting, also where they are dropped.
+struct Place<'a>(&'a Turnstile);
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.turns.borrow_mut().retain(|it| !it.is_closed());
+    }
+}
+
 /// A turn. Dropped, it goes to the next.
 pub struct Permit(Held);
 
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -110,6 +110,7 @@
                 slow: Micros::MAX,
                 overdue: ORDER_LIMIT,
                 end,
+                progress: None,
             };
             // Without an answer the connection is closed, which rolls back as well.
             if let Ok(answer) = channel.run(&inst, sending).await
@@ -131,6 +132,9 @@
         let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
         let mut tried = Vec::new();
         while tried.len() < TRIES && Instant::now() < self.end {
+            if !tried.is_empty() && self.gives_up(&group) {
+                break;
+            }
             match self.try_begin(session, &group, access, &mut tried).await {
                 Ok(it) => {
                     session.txn = Txn::Open(Box::new(it));
@@ -158,10 +162,7 @@
         };
         let up = match chosen {
             Some(it) => it,
-            None => {
-                let primary = group.wait_primary(&self.inst, self.end).await;
-                primary.ok_or_else(|| Some(busy("the group has no primary", TxnState::Idle)))?
-            }
+            None => self.primary(group).await.map_err(Miss::refusal)?,
         };
         // It may have become known, or taken another's place, only after the statement had come.
         let term = group.term();
--- a/crates/engine/src/write.rs
+++ b/crates/engine/src/write.rs
@@ -2,14 +2,17 @@
 
 use {
     crate::{
-        channel::RunError,
+        channel::{Channel, RunError},
         count::Count,
+        group::Group,
         model::{Answer, Code, TxnState},
         session::{Session, text},
         settings::{RETRY_PAUSE, TRIES},
         statement::{Miss, NO_TIME, Work, busy, unknown},
+        upstream::Upstream,
     },
     pondtrack_core::retry::Backoff,
+    std::rc::Rc,
 };
 
 impl Work<'_> {
@@ -19,11 +22,11 @@
             return busy("the group has no servers", TxnState::Idle);
         };
         let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
-        for _ in 0..TRIES {
-            let Some(up) = group.wait_primary(&self.inst, self.end).await else {
-                return busy("the group has no primary", TxnState::Idle);
-            };
-            let mut channel = match self.reach(session, &up, self.end).await {
+        for n in 0..TRIES {
+            if n > 0 && self.gives_up(&group) {
+                break;
+            }
+            let (up, mut channel) = match self.reach_primary(session, &group).await {
                 Ok(it) => it,
                 Err(Miss::Late(why)) => return busy(why, TxnState::Idle),
                 Err(Miss::Again) => {
@@ -63,4 +66,10 @@
         }
         busy("the primary doesn't take the statement", TxnState::Idle)
     }
+
+    async fn reach_primary(&self, session: &Session, group: &Group) -> Result<(Rc<Upstream>, Channel), Miss> {
+        let up = self.primary(group).await?;
+        let channel = self.reach(session, &up, self.end).await?;
+        Ok((up, channel))
+    }
 }
