Budget: turns and connections until 1.5 objectives

A try that has used its objective can only be late, wherever it goes next: after a refusal it pauses and is last in the next queue, while a short further wait would have it served.

Change: 1.5 for turns and connections, and as the time after which nothing untried is tried again. Three such tries with two pauses still end when callers give up.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -16,8 +16,9 @@
 /// The same for evidence: a group's state takes a few milliseconds to learn, or this instance can't learn it. What is left
 /// lets another instance answer in time.
 const EVIDENCE: Time = 75;
-/// The same for a turn or a connection: what waited for longer can only be late.
-const TURN: Time = 100;
+/// The same for a turn or a connection. What waits past the objective can only be late, at whichever instance: it is served
+/// sooner by a short further wait than by a pause and a place at the end of the next queue.
+const TURN: Time = 150;
 /// The same for a primary, and then for a turn and a connection at it: a change of primary is over soon, and no other instance
 /// has a primary meanwhile. Callers give up after some objectives, and three tries of this length cover these.
 const PRIMARY: Time = 200;
