Sightings: a group's state is told by instances that know it

Cause: an instance without connections to a group's servers had each of them asked anew, one Order::Status at a time through one home after the other, with up to 400 ms for a home that doesn't answer.

Change: Ask::State names the servers whose accounts are wanted and how old each may be (new: message::Wanted). The answering instance renews those that are older and reached from there, once for all who ask, and tells all that it knows with ages. The age counts up to the moment when the question came, not to that of the answer: else a question put for a read of the latest could never be met by a renewed account, and it is never younger than it is either way, as the asking one counts from the sending. A told account isn't heard, needs a later time than the known one, the same run, and to be of after the server's last known loss; one that shows less needs to be certainly later.

Ruled out: dropping lower positions in Freshness::observe. A primary that came back with less in the same term would have blocked reads until it had written past the old position; two positions in the wrong order are each true by themselves. Told accounts at the instance that may order changes of primary, and for servers that are silent here: its silence is found by asking.

--- a/crates/core/src/fresh.rs
+++ b/crates/core/src/fresh.rs
@@ -14,6 +14,18 @@
 /// Observations kept; at one every 50 ms they reach back about a minute.
 const KEPT: usize = 1_200;
 
+/// How old an account that was asked for at `asked` is for whoever asked for it at `came`, on the clock of the one that tells
+/// it.
+pub fn age(came: Time, asked: Time) -> Time {
+    came.saturating_sub(asked)
+}
+
+/// When an account of this age was asked for, or later, on the clock of the one that asked for it at `sent`: the question
+/// was sent before it came. None for a time before that clock began.
+pub fn asked(sent: Time, age: Time) -> Option<Time> {
+    sent.checked_sub(age).filter(|at| *at > 0)
+}
+
 /// The evidence of one group's freshness.
 #[derive(Clone, Debug)]
 pub struct Freshness {
--- a/crates/engine/src/ask.rs
+++ b/crates/engine/src/ask.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         count::Count,
-        group::Group,
+        group::{Group, sightings},
         instance::{Instance, micros},
         message::{Ask, Told},
         model::{Order, Status},
@@ -24,6 +24,10 @@
             it.pool.trim(Instant::now(), true);
             return;
         }
+        let since = it.since.take();
+        if sightings::learn(&inst, &group, &it, since).await {
+            continue;
+        }
         let asked = give(&inst, &group, &it, &Order::Status).await;
         if asked.is_none() {
             // So that a server that can't be reached isn't asked without end.
--- a/crates/engine/src/count.rs
+++ b/crates/engine/src/count.rs
@@ -43,6 +43,8 @@
     Refused,
     /// Questions and orders to servers.
     Orders,
+    /// Questions to other instances about a group's state.
+    Inquiries,
     /// Calls of the store.
     StoreCalls,
     /// Calls of the store without a result.
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -8,6 +8,7 @@
 //! replaces it first stops all other replicas from receiving (see [`crate::takeover`]).
 
 use {
+    self::sightings::Inquiry,
     crate::{
         instance::{Instance, Micros, micros},
         settings::{
@@ -31,6 +32,7 @@
 
 mod evidence;
 mod listing;
+pub mod sightings;
 
 /// Replicas that have to confirm a term, or hold a commit.
 const REPLICAS: usize = 1;
@@ -55,6 +57,8 @@
     forgotten: Cell<u64>,
     fresh: RefCell<Freshness>,
     gate: RefCell<Gate>,
+    /// Questions about it to other instances.
+    inquiry: Inquiry,
 }
 
 impl Group {
@@ -73,6 +77,7 @@
             forgotten: Cell::default(),
             fresh: RefCell::new(Freshness::new(0, REPLICAS)),
             gate: RefCell::new(Gate::new(0, REPLICAS)),
+            inquiry: Inquiry::default(),
         }
     }
 
--- a/crates/engine/src/group/evidence.rs
+++ b/crates/engine/src/group/evidence.rs
@@ -49,6 +49,18 @@
     /// A server gave its account of itself in the answer to a question sent at `sent`.
     pub fn saw(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) {
         it.answered(now);
+        self.take(it, status, sent, now);
+    }
+
+    /// Another instance told a server's account of itself, which had been asked for at `sent` or later. It shows nothing of
+    /// whether this instance would have an answer, and changes nothing unless it adds to what is known.
+    pub(super) fn was_told(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) {
+        if it.is_news(status, sent) {
+            self.take(it, status, sent, now);
+        }
+    }
+
+    fn take(&self, it: &Upstream, status: Status, sent: Micros, now: Micros) {
         if it.has_forgotten(status, sent) {
             self.note_loss(it, status, now);
         }
@@ -89,6 +101,7 @@
         log::warn!(group, server = id.as_str(), term, position = status.received.lsn.0; "has lost its log");
         self.forget(it, now);
         it.recovery.set(Some(Recovery::new(now, micros(CHANGE_MOST))));
+        it.returned.set(now);
     }
 
     /// Whether a server is the primary of the newest term: by its own word, unless its log lacks what a replica has.
--- a/crates/engine/src/group/listing.rs
+++ b/crates/engine/src/group/listing.rs
@@ -91,7 +91,10 @@
     pub(super) fn add(self: &Rc<Self>, inst: &Rc<Instance>, server: Server, recovery: Option<Recovery>) {
         let index = self.servers.borrow().len();
         let it = Rc::new(Upstream::new(index, server, inst.clock));
-        it.recovery.set(recovery);
+        if recovery.is_some() {
+            it.recovery.set(recovery);
+            it.returned.set(inst.now());
+        }
         self.servers.borrow_mut().push(it.clone());
         self.fresh.borrow_mut().grow(index + 1);
         self.gate.borrow_mut().grow(index + 1);
--- /dev/null
+++ b/crates/engine/src/group/sightings.rs
@@ -0,0 +1,247 @@
+//! What instances tell each other of a group's servers.
+//!
+//! An instance that has no connections to a server, or doesn't reach it, asks one that does for what it knows of the whole
+//! group. How long ago a server was asked is counted back from the moment at which this instance sent its own question, which
+//! came before the other one looked at its clock: an account is never taken for younger than it is.
+
+use {
+    super::Group,
+    crate::{
+        count::Count,
+        instance::{Instance, Micros},
+        message::{Ask, Sighting, Told, Wanted},
+        organisation::Owner,
+        peer::Peer,
+        settings::{ASK_OTHERS, ASK_WAIT, ORDER_LIMIT, RELAY_AFTER, RELAYS},
+        upstream::Upstream,
+    },
+    futures::future::join_all,
+    pondtrack_core::fresh,
+    pondtrack_proto::Name,
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        sync::Notify,
+        task::{spawn_local, yield_now},
+        time::{Instant, sleep, timeout, timeout_at},
+    },
+};
+
+/// After this long without an answer a second instance is asked what it knows: two crossings of zones, both ways.
+const SECOND_AFTER: Duration = Duration::from_millis(10);
+/// Instances that are asked at once for a primary: one of them may be cut off.
+const LOOKS: usize = 2;
+
+/// A server whose account is wanted, and since when it has to have been asked for.
+type Want = (Rc<Upstream>, Micros);
+
+/// Questions about a group to other instances: those that come together, or while one is out, go together.
+#[derive(Default)]
+pub(super) struct Inquiry {
+    wants: RefCell<Vec<Want>>,
+    running: Cell<bool>,
+    begun: Cell<u64>,
+    ended: Cell<u64>,
+    /// Whether others are being asked for a primary that this instance should find itself.
+    looking: Cell<bool>,
+    /// Woken when a question or a round has ended.
+    news: Notify,
+}
+
+/// What is known here of a group's servers. Those that are `wanted` and reached from here are asked anew first, where what is
+/// known is older; all who ask at the same time share these questions.
+pub async fn tell(inst: &Rc<Instance>, group: &str, wanted: &[Wanted]) -> Vec<Sighting> {
+    let came = inst.now();
+    let Some(group) = inst.group(group) else { return Vec::new() };
+    let servers = group.servers();
+    let find = |it: &Wanted| {
+        let up = servers.iter().find(|up| it.server == up.entry().as_ref().into())?;
+        inst.place(up);
+        up.is_reachable().then(|| (up.clone(), came.saturating_sub(it.age)))
+    };
+    let wants: Vec<Want> = wanted.iter().filter_map(find).collect();
+    for (up, since) in wants.iter().filter(|it| !is_met(it)) {
+        up.ask_after(*since);
+    }
+    let end = Instant::now() + ASK_WAIT;
+    loop {
+        let changed = group.changed.notified();
+        let settled = |it: &Want| is_met(it) || it.0.refused().is_some() || !it.0.is_reachable();
+        if wants.iter().all(settled) || timeout_at(end, changed).await.is_err() {
+            break;
+        }
+    }
+    let sighting = |up: &Rc<Upstream>| {
+        let (sent, status) = up.status()?;
+        Some(Sighting { server: up.entry().as_ref().into(), status, age: fresh::age(came, sent) })
+    };
+    servers.iter().filter_map(sighting).collect()
+}
+
+/// Learns from other instances what a server last said about itself, if it was asked for that at `since` or later. False
+/// where the server has to be asked.
+pub async fn learn(inst: &Rc<Instance>, group: &Rc<Group>, it: &Rc<Upstream>, since: Micros) -> bool {
+    inst.place(it);
+    if it.is_reachable() {
+        if group.primary().is_none() && group.is_used() {
+            // Whoever leads may be known elsewhere, and not reached from here.
+            spawn_local(look_round(inst.clone(), group.clone(), it.clone(), inst.now()));
+        }
+        return false;
+    }
+    // Whether it answers is found out by asking it: where that is in doubt, and where changes of primary are ordered.
+    if it.silent().is_some() || it.refused().is_some() || inst.token().is_some() {
+        return false;
+    }
+    it.probe(inst, group);
+    let since = since.min(inst.now());
+    let round = group.want(inst, it, since);
+    let inquiry = &group.inquiry;
+    loop {
+        let news = inquiry.news.notified();
+        if inquiry.ended.get() >= round {
+            return is_met(&(it.clone(), since));
+        }
+        news.await;
+    }
+}
+
+/// Asks other instances what they know, where a server that this one should reach owes an answer and none is known to lead.
+async fn look_round(inst: Rc<Instance>, group: Rc<Group>, it: Rc<Upstream>, asked: Micros) {
+    sleep(SECOND_AFTER).await;
+    let answered = is_met(&(it.clone(), asked));
+    if answered || group.primary().is_some() || inst.token().is_some() || group.inquiry.looking.replace(true)
+    {
+        return;
+    }
+    let mut peers: Vec<Rc<Peer>> = Vec::new();
+    let mut names: Vec<Name> = Vec::new();
+    while let Some(peer) = it.fit_peer_but(&inst, &Owner::Shared, &names).filter(|_| names.len() < LOOKS) {
+        names.push(peer.name.clone());
+        peers.push(peer);
+    }
+    let ask = |peer| put(inst.clone(), group.clone(), peer, (it.clone(), 0), Vec::new());
+    join_all(peers.into_iter().map(ask)).await;
+    group.inquiry.looking.set(false);
+}
+
+/// Whether a server's account is known as it is wanted.
+fn is_met(it: &Want) -> bool {
+    it.0.status().is_some_and(|known| known.0 >= it.1)
+}
+
+impl Group {
+    /// Takes in what another instance knows, which was asked at `sent`.
+    pub fn hear(&self, told: &[Sighting], sent: Micros, now: Micros) {
+        for it in told {
+            let Some(asked) = fresh::asked(sent, it.age) else { continue };
+            let known = self.present(&it.server.id).filter(|up| !up.is_gone());
+            if let Some(up) = known.filter(|up| up.entry().incarnation == it.server.incarnation) {
+                self.was_told(&up, it.status, asked, now);
+            }
+        }
+    }
+
+    /// Has other instances asked about a server; hands back the number of the round that does it.
+    fn want(self: &Rc<Self>, inst: &Rc<Instance>, it: &Rc<Upstream>, since: Micros) -> u64 {
+        let inquiry = &self.inquiry;
+        inquiry.wants.borrow_mut().push((it.clone(), since));
+        if !inquiry.running.replace(true) {
+            spawn_local(inquire(inst.clone(), self.clone()));
+        }
+        inquiry.begun.get() + 1
+    }
+}
+
+/// Puts what is wanted, until nothing is.
+async fn inquire(inst: Rc<Instance>, group: Rc<Group>) {
+    let inquiry = &group.inquiry;
+    loop {
+        // Whoever wants something at the same moment is heard first.
+        yield_now().await;
+        let wants = inquiry.wants.take();
+        if wants.is_empty() {
+            inquiry.running.set(false);
+            return;
+        }
+        inquiry.begun.set(inquiry.begun.get() + 1);
+        // Beyond that time the servers are asked.
+        timeout(RELAY_AFTER, round(&inst, &group, &wants)).await.ok();
+        inquiry.ended.set(inquiry.begun.get());
+        inquiry.news.notify_waiters();
+    }
+}
+
+/// Asks one instance after the other until what is wanted is known, or nobody is left to be asked.
+async fn round(inst: &Rc<Instance>, group: &Rc<Group>, wants: &[Want]) {
+    let open = Rc::new(Cell::new(0));
+    let mut asked: Vec<Name> = Vec::new();
+    for n in 0..=RELAYS {
+        let missing: Vec<Want> = wants.iter().filter(|it| !is_met(it)).cloned().collect();
+        let next = |it: &Want| Some((it.clone(), it.0.fit_peer_but(inst, &Owner::Shared, &asked)?));
+        let Some((first, peer)) = missing.iter().find_map(next) else { break };
+        // The second one tells what it knows: it asks no server that the first one is asking.
+        let knows = n == 1 && open.get() > 0;
+        if !knows {
+            asked.push(peer.name.clone());
+        }
+        let missing = if knows { Vec::new() } else { missing };
+        open.set(open.get() + 1);
+        let put = put(inst.clone(), group.clone(), peer, first, missing);
+        let (asking, asker) = (open.clone(), group.clone());
+        spawn_local(async move {
+            put.await;
+            asking.set(asking.get() - 1);
+            asker.inquiry.news.notify_waiters();
+        });
+        let pause = if n == 0 { SECOND_AFTER } else { ASK_OTHERS };
+        if await_news(group, wants, &open, Instant::now() + pause).await {
+            return;
+        }
+    }
+    while open.get() > 0 && !await_news(group, wants, &open, Instant::now() + ORDER_LIMIT).await {}
+}
+
+/// Waits until what is wanted is known, which it says, all questions are answered, or the end.
+async fn await_news(group: &Group, wants: &[Want], open: &Cell<usize>, end: Instant) -> bool {
+    loop {
+        let news = group.inquiry.news.notified();
+        if wants.iter().all(is_met) {
+            return true;
+        }
+        if open.get() == 0 || timeout_at(end, news).await.is_err() {
+            return false;
+        }
+    }
+}
+
+/// Asks another instance, which was chosen for the `first` server's sake, also when nobody waits for it any longer: one that
+/// doesn't answer is passed over by later questions.
+async fn put(inst: Rc<Instance>, group: Rc<Group>, peer: Rc<Peer>, first: Want, wants: Vec<Want>) {
+    let sent = inst.now();
+    let wanted = |(up, since): &Want| {
+        up.asked.set(sent);
+        Wanted { server: up.entry().as_ref().into(), age: sent.saturating_sub(*since) }
+    };
+    let ask = Ask::State { group: group.name.clone(), wanted: wants.iter().map(wanted).collect() };
+    inst.counters.one(Count::Inquiries);
+    let told = timeout(ORDER_LIMIT, peer.ask(&inst, ask)).await;
+    let now = inst.now();
+    let heard = matches!(told, Ok(Told::State(_)));
+    if let Ok(Told::State(told)) = told {
+        group.hear(&told, sent, now);
+    }
+    if !heard || (!wants.is_empty() && !is_met(&first)) {
+        first.0.unfit(&peer.name, now, false);
+        log::debug!(group = group.name.as_str(), peer = peer.name.as_str(), heard; "no news");
+    }
+    for (up, _) in &wants {
+        // What was told may have been asked for long before.
+        if up.asked.get() == sent {
+            up.asked.set(up.status().map_or(0, |it| it.0));
+        }
+    }
+}
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -112,6 +112,8 @@
     State {
         /// The group.
         group: Name,
+        /// Servers whose accounts are to be renewed first where they are older, if the other one reaches them.
+        wanted: Vec<Wanted>,
     },
     /// To give a server an order that it answers with its account of itself.
     Order {
@@ -146,6 +148,15 @@
     pub count: u32,
 }
 
+/// A server whose account of itself is wanted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wanted {
+    /// The server.
+    pub server: ServerRun,
+    /// How long before this message it may have been asked for it at most, in microseconds.
+    pub age: Micros,
+}
+
 /// What an instance knows of a server's account of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sighting {
@@ -153,7 +164,7 @@
     pub server: ServerRun,
     /// Its account.
     pub status: Status,
-    /// How long before this message the server was asked for it, in microseconds.
+    /// How long before the question for this came the server was asked, in microseconds; 0 if it was later.
     pub age: Micros,
 }
 
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -5,7 +5,7 @@
         ask::give_direct,
         channel::{Channel, Direct, NoWay, Sending, What},
         dispatch::{TURN_MOST, tell_homes},
-        group::Group,
+        group::{Group, sightings},
         handout,
         instance::{Instance, Micros, accept_all, micros},
         link::{Halves, Reader, STREAM_SILENCE, halves},
@@ -110,8 +110,7 @@
             Ask::Fetch(it) => handout::answer(inst, it).await,
             Ask::Lend(it) => inst.limit.lent(inst, &it),
             Ask::Claim(it) => inst.limit.claimed(inst, &it),
-            // Nothing is told yet of what was seen.
-            Ask::State { .. } => Told::State(Vec::new()),
+            Ask::State { group, wanted } => Told::State(sightings::tell(inst, &group, &wanted).await),
             Ask::Order { server, order } => order_server(inst, &server, &order).await,
         };
         self.tell(id, told);
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -75,6 +75,8 @@
     pub(crate) status: Cell<Option<(Micros, Status)>>,
     /// When that came.
     pub(crate) stated: Cell<Micros>,
+    /// When it was known to have come back with nothing: what others were told before doesn't count.
+    pub(crate) returned: Cell<Micros>,
     /// What it counts for after it came back with nothing.
     pub(crate) recovery: Cell<Option<Recovery>>,
     pub(crate) pace: Cell<Pace>,
@@ -105,6 +107,8 @@
     pub(crate) superseded: Cell<bool>,
     /// Whether its account of itself was ever wanted.
     pub(crate) wanted: Cell<bool>,
+    /// An account of itself is wanted that was asked for at this time or later.
+    pub(crate) since: Cell<Micros>,
     /// When it was last asked.
     pub(crate) asked: Cell<Micros>,
     /// When a question was sent over a connection of this instance that has no answer yet.
@@ -129,6 +133,7 @@
             entry: RefCell::new(Rc::new(server)),
             status: Cell::default(),
             stated: Cell::default(),
+            returned: Cell::default(),
             recovery: Cell::default(),
             pace: Cell::default(),
             lag: Cell::default(),
@@ -148,6 +153,7 @@
             gone: Cell::default(),
             superseded: Cell::default(),
             wanted: Cell::default(),
+            since: Cell::default(),
             asked: Cell::default(),
             sent: Cell::default(),
             nudge: Notify::new(),
@@ -171,6 +177,15 @@
         later && status.term == old.term && status.received.lsn < old.received.lsn
     }
 
+    /// Whether an account that was asked for at `sent` or later, and went through other instances, adds to what is known. One
+    /// that shows less than was known may have been asked for before that, unless it is certain to be later.
+    pub(crate) fn is_news(&self, status: Status, sent: Micros) -> bool {
+        let Some((known, old)) = self.status.get() else { return sent >= self.returned.get() };
+        let shown = (status.term, status.received.lsn);
+        let less = shown < (old.term, old.received.lsn);
+        sent > known && sent >= self.returned.get() && (!less || sent >= self.stated.get())
+    }
+
     /// Notes something about its recovery, if it came back with nothing.
     pub(crate) fn recover(&self, note: impl FnOnce(&mut Recovery)) {
         if let Some(mut it) = self.recovery.get() {
@@ -394,6 +409,11 @@
     /// these can be reached. One that has only too much to do isn't replaced. All instances go to the same one for
     /// an organisation, so that its connections are used again instead of being replaced by another's.
     pub(crate) fn fit_peer(&self, inst: &Instance, owner: &Owner) -> Option<Rc<Peer>> {
+        self.fit_peer_but(inst, owner, &[])
+    }
+
+    /// The same, but none of some that were asked already.
+    pub(crate) fn fit_peer_but(&self, inst: &Instance, owner: &Owner, asked: &[Name]) -> Option<Rc<Peer>> {
         inst.place(self);
         let now = inst.now();
         let (unfit, homes) = (self.unfit.borrow(), self.homes.get());
@@ -407,6 +427,7 @@
             match unfit.iter().find(|it| it.name == *name && it.until > now) {
                 Some(it) => full |= it.full,
                 None if at >= homes && full => return None,
+                None if asked.contains(name) => {}
                 None => {
                     let found = inst.peer(name).filter(|it| it.is_usable(now));
                     if found.is_some() {
@@ -474,14 +495,19 @@
 
     /// Asks it for its account of itself, soon.
     pub fn ask(&self) {
+        self.ask_since(Micros::MAX);
+    }
+
+    fn ask_since(&self, since: Micros) {
         self.wanted.set(true);
+        self.since.set(self.since.get().max(since));
         self.nudge.notify_one();
     }
 
     /// The same, unless it was asked at `since` or later.
     pub fn ask_after(&self, since: Micros) {
         if self.asked.get() < since {
-            self.ask();
+            self.ask_since(since);
         }
     }
 }
