Sightings: while nobody is known to lead, the homes of all servers are asked at once

Change: while the group's primary isn't known, each wanted server that isn't covered by an instance already chosen has its own home asked in the same step; each is told only what it is asked to renew, so no server is asked twice. With a known primary: as before.

Test: while_nobody_is_known_to_lead.. with a silent first home; red in two of two runs with one instance chosen for all. fmt and clippy clean; platform tests sightings, relay, failover, restarts, statements, silent, organisations, dispatch and returns passed once. Not run again for this commit: core tests (untouched), http, input, lease, names, objects, spread, wire.

--- a/crates/engine/src/group/sightings.rs
+++ b/crates/engine/src/group/sightings.rs
@@ -181,22 +181,26 @@
     let mut asked: Vec<Name> = Vec::new();
     for n in 0..=RELAYS {
         let missing: Vec<Want> = wants.iter().filter(|it| !is_met(it)).cloned().collect();
-        let next = |it: &Want| Some((it.clone(), it.0.fit_peer_but(inst, &Owner::Shared, &asked)?));
-        let Some((first, peer)) = missing.iter().find_map(next) else { break };
         // The second one tells what it knows: it asks no server that the first one is asking.
         let knows = n == 1 && open.get() > 0;
-        if !knows {
-            asked.push(peer.name.clone());
+        let next = targets(inst, group, missing, &asked);
+        if next.is_empty() {
+            break;
+        }
+        for (first, peer, wants) in next {
+            if !knows {
+                asked.push(peer.name.clone());
+            }
+            let wants = if knows { Vec::new() } else { wants };
+            open.set(open.get() + 1);
+            let put = put(inst.clone(), group.clone(), peer, first, wants);
+            let (asking, asker) = (open.clone(), group.clone());
+            spawn_local(async move {
+                put.await;
+                asking.set(asking.get() - 1);
+                asker.inquiry.news.notify_waiters();
+            });
         }
-        let missing = if knows { Vec::new() } else { missing };
-        open.set(open.get() + 1);
-        let put = put(inst.clone(), group.clone(), peer, first, missing);
-        let (asking, asker) = (open.clone(), group.clone());
-        spawn_local(async move {
-            put.await;
-            asking.set(asking.get() - 1);
-            asker.inquiry.news.notify_waiters();
-        });
         let pause = if n == 0 { SECOND_AFTER } else { ASK_OTHERS };
         if await_news(group, wants, &open, Instant::now() + pause).await {
             return;
@@ -205,6 +209,30 @@
     while open.get() > 0 && !await_news(group, wants, &open, Instant::now() + ORDER_LIMIT).await {}
 }
 
+/// Whom to ask next, and for what: one instance for all, as it knows the rest as well; while nobody is known to lead, one for
+/// each server unless it is a home of several, as any of them may.
+fn targets(
+    inst: &Instance,
+    group: &Group,
+    missing: Vec<Want>,
+    asked: &[Name],
+) -> Vec<(Want, Rc<Peer>, Vec<Want>)> {
+    let mut out: Vec<(Want, Rc<Peer>, Vec<Want>)> = Vec::new();
+    let one = group.primary().is_some();
+    for it in missing {
+        let covers = |peer: &Peer| one || it.0.is_home(&peer.name);
+        let known = out.iter_mut().find(|target| covers(&target.1));
+        match known {
+            Some(target) => target.2.push(it),
+            None => {
+                let peer = it.0.fit_peer_but(inst, &Owner::Shared, asked);
+                out.extend(peer.map(|peer| (it.clone(), peer, vec![it])));
+            }
+        }
+    }
+    out
+}
+
 /// Waits until what is wanted is known, which it says, all questions are answered, or the end.
 async fn await_news(group: &Group, wants: &[Want], open: &Cell<usize>, end: Instant) -> bool {
     loop {
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -439,6 +439,11 @@
         None
     }
 
+    /// Whether another instance is a home of it.
+    pub(crate) fn is_home(&self, peer: &Name) -> bool {
+        self.ranked.borrow().iter().take(self.homes.get()).any(|it| it == peer)
+    }
+
     /// Another instance couldn't do it, or has too much to do, and is passed over for a while.
     pub fn unfit(&self, peer: &Name, now: Micros, full: bool) {
         let pause = if full { FULL_PEER_PAUSE } else { UNFIT_PAUSE };
