Turns: organisations get their shares, and each kind a minimum

Cause: the order of those that wait for a turn knew nothing of organisations, so one caller's storm went before others, also within its quota; and at ten times the load the longest kind got nothing.

Change: start-time fair queueing over owners (core::turn::fair): an owner that has had more than its share by more than 20 ms of work waits for those that are behind; within that the order is the old one. Kinds that are left out share a tenth of the server's work, saved up for each (core::turn::least). A statement is refused by what really goes before it. Ranks carry the owner and a weight from its quota; with owner 0 the order and the refusals are the old ones (seeded test).

--- a/crates/core/src/turn.rs
+++ b/crates/core/src/turn.rs
@@ -9,9 +9,8 @@
 //! is over. So what would wait for a large part of the time that it has is refused at once, so that its caller can
 //! try elsewhere while there is time: a queue that is as long as that makes all that pass through it late.
 //!
-//! In the model of `testbed lab`, with callers who ask for 1.4 and 2.8 times of what a server can do, the worth of
-//! what is served goes from 0.60 to 0.71 and from 0.27 to 0.47 of the whole, and to 0.85 and 0.53 where one instance
-//! hands out turns for all.
+//! Where owners are told apart, none gets far ahead of its share while others wait, and each kind of work gets a small
+//! part of the server whatever goes before it.
 //!
 //! Times are microseconds.
 
@@ -23,6 +22,11 @@
     serde::{Deserialize, Serialize},
 };
 
+mod fair;
+mod least;
+
+use self::{fair::Owners, least::Least};
+
 /// The limit at the start, and the highest of one instance alone: enough for a server with a few slots, and one
 /// statement on its way.
 const MOST: f64 = 4.0;
@@ -39,9 +43,8 @@
 const KINDS: usize = 256;
 /// The part of a new observation in the pace of turns.
 const PACE_WEIGHT: f64 = 0.1;
-/// The part of the time that is left, in percent, for which a statement may be expected to wait. In the model of
-/// `testbed lab` 60 serves 0.01 more of the worth at up to 1.4 times of what a server can do and 0.08 less at 2.8
-/// times, 15 serves 0.02 less at up to 1.8 times and as much more at 2.8.
+/// The part of the time that is left, in percent, for which a statement may be expected to wait: what is refused can
+/// still be served in time elsewhere, and the queue is short enough for those that are in it.
 const WAIT_PERCENT: u64 = 30;
 
 /// Whose share of a server a statement uses. Those of one owner are ordered among themselves; owners get turns in
@@ -57,6 +60,8 @@
 /// What a statement is worth running for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rank {
+    /// Whose share of the server it uses.
+    pub share: Share,
     /// Whether it belongs to an open transaction.
     pub pinned: bool,
     /// The route's rank; 0 goes first.
@@ -72,7 +77,19 @@
 }
 
 /// The order of those that wait; the lowest goes first.
-type Key = (bool, u8, bool, Time);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    loose: bool,
+    ahead: u64,
+    priority: u8,
+    late: bool,
+    work: Time,
+}
+
+/// What a minimum is for.
+fn kind(rank: &Rank) -> least::Kind {
+    (rank.priority, rank.kind)
+}
 
 /// The statements at one server. `T` stands for one that waits.
 #[derive(Debug)]
@@ -90,6 +107,8 @@
     /// What work that got a turn costs, by kind. One figure for all instances: what an instance takes it to cost
     /// rests on what it had served, so one that took it to be long would come last and never find out.
     costs: Averages<u64>,
+    owners: Owners,
+    least: Least,
 }
 
 impl<T> Default for Turns<T> {
@@ -103,6 +122,8 @@
             handed: None,
             interval: 0.0,
             costs: Averages::default(),
+            owners: Owners::default(),
+            least: Least::default(),
         }
     }
 }
@@ -118,6 +139,21 @@
         self.waiting.len()
     }
 
+    /// Owners with statements that wait.
+    pub fn owners(&self) -> usize {
+        self.owners.waiting()
+    }
+
+    /// Owners that are remembered: those that wait, and those that have had more than their share.
+    pub fn known_owners(&self) -> usize {
+        self.owners.len()
+    }
+
+    /// Turns that went to kinds of work by their minimum, since the last look.
+    pub fn take_lifted(&mut self) -> u64 {
+        self.least.take_lifted()
+    }
+
     /// The limit now.
     pub fn limit(&self) -> usize {
         self.limit as usize
@@ -155,19 +191,57 @@
     }
 
     /// Whether this would wait for too much of the time that it has.
-    pub fn refuses(&self, rank: Rank, now: Time) -> bool {
+    pub fn refuses(&mut self, rank: Rank, now: Time) -> bool {
+        self.least.asked(kind(&rank), self.whole(&rank));
         let left = rank.aim.saturating_sub(now);
         let waits = !rank.pinned && !self.waiting.is_empty();
-        waits && self.expected_wait(rank, now) * 100 > left * WAIT_PERCENT
+        waits
+            && self.expected_wait(rank, now) * 100 > left * WAIT_PERCENT
+            && self.wait_for_least(rank, now) > left
     }
 
     /// How long this would wait, as far as those before it and the pace of turns show.
     fn expected_wait(&self, rank: Rank, now: Time) -> Time {
-        let key = self.key(&rank, now);
-        let before = self.waiting.iter().filter(|it| self.key(&it.0, now) <= key).count();
+        let before = match self.owners.has_others(rank.share) {
+            true => self.before(&rank, now),
+            false => {
+                let key = self.order(&rank, now);
+                self.waiting.iter().filter(|it| self.order(&it.0, now) <= key).count()
+            }
+        };
         (before as f64 * self.interval) as Time
     }
 
+    /// How many go before this, where others' statements wait: each is as far ahead as those of its owner before it make
+    /// it.
+    fn before(&self, rank: &Rank, now: Time) -> usize {
+        let mut all: Vec<(&Rank, bool)> = self.waiting.iter().map(|it| (&it.0, false)).collect();
+        all.push((rank, true));
+        all.sort_by_key(|it| (it.0.share.owner, self.order(it.0, now)));
+        let (mut done, mut last) = (0.0, None);
+        let mut keys = Vec::with_capacity(all.len());
+        let mut own = None;
+        for (it, is_own) in all {
+            if last.replace(it.share.owner) != Some(it.share.owner) {
+                done = 0.0;
+            }
+            let key = Key { ahead: self.owners.ahead(it.share, done), ..self.order(it, now) };
+            done += self.work(it);
+            if is_own { own = Some(key) } else { keys.push(key) }
+        }
+        keys.into_iter().filter(|it| Some(*it) <= own).count()
+    }
+
+    /// How long this would wait for a turn by its kind's minimum.
+    fn wait_for_least(&self, rank: Rank, now: Time) -> Time {
+        if rank.share.owner == 0 || !self.may_be_lifted(&rank, now) {
+            return Time::MAX;
+        }
+        let alike = |it: &&(Rank, T)| kind(&it.0) == kind(&rank) && !it.0.pinned;
+        let work: f64 = self.waiting.iter().filter(alike).map(|it| self.whole(&it.0)).sum();
+        (self.least.turns_to(kind(&rank), work + self.whole(&rank)) * self.interval) as Time
+    }
+
     /// Takes a turn if there is one.
     pub fn start(&mut self) -> bool {
         let free = self.is_free();
@@ -178,12 +252,21 @@
     /// Waits for a turn.
     pub fn wait(&mut self, rank: Rank, now: Time, it: T) {
         self.queued = Some(now);
+        self.least.asked(kind(&rank), self.whole(&rank));
+        self.owners.join(rank.share);
         self.waiting.push((rank, it));
     }
 
     /// Forgets those that wait no longer.
     pub fn retain(&mut self, keep: impl Fn(&T) -> bool) {
-        self.waiting.retain(|it| keep(&it.1));
+        let owners = &mut self.owners;
+        self.waiting.retain(|it| {
+            let kept = keep(&it.1);
+            if !kept {
+                owners.leave(it.0.share);
+            }
+            kept
+        });
     }
 
     /// A statement has ended.
@@ -197,16 +280,67 @@
             return None;
         }
         let best = (0..self.waiting.len()).min_by_key(|at| self.key(&self.waiting[*at].0, now))?;
+        let lifted = self.lifted(best, now);
         self.running += 1;
         self.note_pace(now);
         // The order of arrival is kept for those that are alike.
-        let (rank, it) = self.waiting.remove(best);
+        let (rank, it) = self.waiting.remove(lifted.map_or(best, |it| it.0));
+        let work = self.work(&rank);
+        self.least.note(kind(&rank), work, lifted.map(|it| it.1));
+        self.owners.charge(rank.share, work);
         self.note_cost(rank);
         Some(it)
     }
 
+    /// Who goes next in place of the first, and the work that it brings: the first of the kind that has gone without a turn
+    /// for the longest, where its minimum is due.
+    fn lifted(&self, first: usize, now: Time) -> Option<(usize, f64)> {
+        let rank = self.waiting[first].0;
+        if rank.share.owner == 0 || rank.pinned {
+            return None;
+        }
+        let due = |at: &usize| self.is_due(&self.waiting[*at].0, now);
+        let by_turn = |at: &usize| {
+            let it = &self.waiting[*at].0;
+            (self.least.last(kind(it)), self.order(it, now))
+        };
+        let at = (0..self.waiting.len()).filter(due).min_by_key(by_turn)?;
+        let it = &self.waiting[at].0;
+        (kind(it) != kind(&rank)).then(|| (at, self.whole(it)))
+    }
+
+    /// Whether enough is saved up for this.
+    fn is_due(&self, rank: &Rank, now: Time) -> bool {
+        self.may_be_lifted(rank, now) && self.least.turns_to(kind(rank), self.whole(rank)) == 0.0
+    }
+
+    /// Whether this is of a kind that is left out, while its owner is within its share and its answer of use.
+    fn may_be_lifted(&self, rank: &Rank, now: Time) -> bool {
+        let useful = !rank.pinned && now <= rank.aim;
+        useful && self.least.is_left_out(kind(rank)) && self.owners.ahead(rank.share, 0.0) == 0
+    }
+
     fn key(&self, rank: &Rank, now: Time) -> Key {
-        (!rank.pinned, rank.priority, now > rank.aim, self.cost(rank) * rank.statements)
+        Key { ahead: self.owners.ahead(rank.share, 0.0), ..self.order(rank, now) }
+    }
+
+    /// The order within an owner.
+    fn order(&self, rank: &Rank, now: Time) -> Key {
+        let work = self.cost(rank) * rank.statements;
+        Key { loose: !rank.pinned, ahead: 0, priority: rank.priority, late: now > rank.aim, work }
+    }
+
+    /// The work of one turn, in microseconds; the usual one where it isn't known.
+    fn work(&self, rank: &Rank) -> f64 {
+        match self.cost(rank) {
+            0 => self.least.usual(),
+            cost => cost as f64,
+        }
+    }
+
+    /// The work of all the turns that this brings.
+    fn whole(&self, rank: &Rank) -> f64 {
+        self.work(rank) * rank.statements as f64
     }
 
     /// What work costs: as its kind did, or as its instance takes it to cost where none of the kind had a turn yet.
--- a/crates/engine/src/count.rs
+++ b/crates/engine/src/count.rs
@@ -35,6 +35,10 @@
     Unknown,
     /// Operations refused as their organisation had used its quota.
     OverLimit,
+    /// Turns refused, as a server has too much to do to answer in time.
+    TurnsRefused,
+    /// Turns handed out to kinds of work that the order leaves out.
+    TurnsLifted,
     /// Callers refused for their key.
     Denied,
     /// Connections to servers opened.
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -8,6 +8,7 @@
 
 use {
     crate::{
+        count::Count,
         instance::{Instance, Micros, micros},
         message::{Ask, Message, Told, TurnWish},
         settings::ANSWER_BACK,
@@ -43,7 +44,7 @@
 /// Waits for a turn at a server. Above `slow` microseconds there a statement is slow, if it isn't known what
 /// they take without a queue.
 pub async fn turn(inst: &Rc<Instance>, up: &Upstream, rank: Rank, slow: Micros, until: Instant) -> Turn {
-    match dispatcher(inst, up) {
+    let turn = match dispatcher(inst, up) {
         Dispatcher::Each => up.turns.enter(rank, None, until).await,
         Dispatcher::Here => up.shared.enter(rank, Some(slow_at(up, slow)), until).await,
         Dispatcher::At(name) => match ask(inst, up, &name, rank, slow_at(up, slow), until).await {
@@ -53,7 +54,15 @@
                 up.turns.enter(rank, None, until).await
             }
         },
-    }
+    };
+    inst.counters.add(Count::TurnsRefused, u64::from(matches!(turn, Turn::Refused)));
+    count_lifted(inst, up);
+    turn
+}
+
+/// Counts turns that went to kinds of work by their minimum.
+pub fn count_lifted(inst: &Instance, up: &Upstream) {
+    inst.counters.add(Count::TurnsLifted, up.turns.take_lifted() + up.shared.take_lifted());
 }
 
 fn dispatcher(inst: &Rc<Instance>, up: &Upstream) -> Dispatcher {
--- a/crates/engine/src/organisation.rs
+++ b/crates/engine/src/organisation.rs
@@ -1,14 +1,18 @@
 //! Organisations: whose callers they are, by their keys, and what they may use.
 
 use {
-    pondtrack_core::quota::Limits,
+    pondtrack_core::{quota::Limits, turn::Share},
     pondtrack_proto::Name,
     serde::{Deserialize, Serialize},
     sha2::{Digest, Sha256},
     std::fmt,
     strum::Display,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
+/// Stands for all callers of no organisation together, where callers are told apart.
+const UNNAMED: u64 = 1;
+
 /// A caller's key, as it was sent. It is a secret: it is not printed, and kept only until it is hashed.
 #[derive(Clone, PartialEq, Eq)]
 pub struct CallerKey(Name);
@@ -129,6 +133,14 @@
         let at = self.all.binary_search_by(|it| it.name.as_str().cmp(name)).ok()?;
         Some(&self.all[at])
     }
+
+    /// An owner's share of a server that has too much to do: by the operations a second that it may use.
+    pub fn share(&self, owner: &Owner) -> Share {
+        let Owner::Organisation(name) = owner else { return Share { owner: UNNAMED, weight: 1 } };
+        let quota = self.find(name).and_then(|it| it.quota);
+        let weight = quota.map_or(1, |it| it.rate.max(1.0) as u32);
+        Share { owner: xxh3_64(name.as_bytes()).max(UNNAMED + 1), weight }
+    }
 }
 
 /// Whose statements a connection to a server carries. It never carries another's.
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -4,7 +4,7 @@
     crate::{
         ask::give_direct,
         channel::{Channel, Direct, NoWay, Sending, What},
-        dispatch::{TURN_MOST, tell_homes},
+        dispatch::{TURN_MOST, count_lifted, tell_homes},
         group::Group,
         handout,
         instance::{Instance, Micros, accept_all, micros},
@@ -134,7 +134,9 @@
         }
         let rank = Rank { aim: it.rank.aim + inst.now(), ..it.rank };
         let until = Instant::now() + Duration::from_millis(it.wait_ms.into());
-        match up.shared.enter(rank, Some(it.slow), until).await {
+        let turn = up.shared.enter(rank, Some(it.slow), until).await;
+        count_lifted(inst, &up);
+        match turn {
             Turn::Granted(permit) => {
                 // A link that has closed meanwhile needs no turn.
                 if self.tell(id, Told::Turn { turn: id, crowded: up.shared.is_crowded() }) {
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -16,7 +16,10 @@
         upstream::{Exchange, Upstream},
     },
     bytes::Bytes,
-    pondtrack_core::{retry::Backoff, turn::Rank},
+    pondtrack_core::{
+        retry::Backoff,
+        turn::{Rank, Share},
+    },
     pondtrack_proto::Mark,
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep_until, timeout},
@@ -226,8 +229,15 @@
         Instant::now() >= self.hold()
     }
 
+    /// Whose share of a server it uses, where callers are told apart.
+    fn share(&self) -> Share {
+        let Some(desired) = self.inst.desired() else { return Share::default() };
+        desired.organisations.as_ref().map(|it| it.share(&self.owner)).unwrap_or_default()
+    }
+
     fn rank(&self) -> Rank {
         Rank {
+            share: self.share(),
             pinned: false,
             priority: self.route.priority,
             aim: self.since + micros(self.route.objective),
--- a/crates/engine/src/turnstile.rs
+++ b/crates/engine/src/turnstile.rs
@@ -45,7 +45,13 @@
     /// How busy it is, for a log line.
     pub fn account(&self) -> String {
         let turns = self.turns.borrow();
-        format!("running={} waiting={} limit={}", turns.running(), turns.waiting(), turns.limit())
+        let (running, waiting, owners) = (turns.running(), turns.waiting(), turns.owners());
+        format!("running={running} waiting={waiting} owners={owners} limit={}", turns.limit())
+    }
+
+    /// Turns that went to kinds of work by their minimum, since the last look.
+    pub fn take_lifted(&self) -> u64 {
+        self.turns.borrow_mut().take_lifted()
     }
 
     /// Whether a statement could run at once.
@@ -82,7 +88,7 @@
     /// Waits for a turn. If it says when it is slow, the turnstile learns from how long it is held.
     pub async fn enter(self: &Rc<Self>, rank: Rank, slow: Option<Micros>, until: Instant) -> Turn {
         let now = self.clock.now();
-        if self.turns.borrow().refuses(rank, now) {
+        if self.turns.borrow_mut().refuses(rank, now) {
             return Turn::Refused;
         }
         if self.turns.borrow_mut().start() {
--- a/crates/testbed/src/lab.rs
+++ b/crates/testbed/src/lab.rs
@@ -12,7 +12,7 @@
     hdrhistogram::Histogram,
     pondtrack_core::{
         Time,
-        turn::{Rank, Turns},
+        turn::{Rank, Share, Turns},
     },
     rand::{RngExt, SeedableRng},
     rand_distr::{Distribution, Exp, LogNormal},
@@ -43,6 +43,9 @@
 /// It is slow above this many times what statements take, where turns come from one instance, as in the engine.
 const SLOW_FACTOR: Time = 3;
 
+/// What one of the lesser organisations asks for, as a part of what the server can do: it has a tenth.
+const LIGHT: f64 = 0.06;
+
 /// Who hands out turns, and what is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter)]
 #[strum(serialize_all = "kebab-case")]
@@ -86,6 +89,13 @@
     pub worth: (f64, f64),
 }
 
+impl Kind {
+    /// Statements of a request on average.
+    fn usual_statements(&self) -> f64 {
+        1.0 + self.transactions * self.statements as f64 / 2.0
+    }
+}
+
 /// What is played.
 #[derive(Clone, Debug)]
 pub struct Pattern {
@@ -95,6 +105,8 @@
     pub slots: usize,
     /// The kinds of requests.
     pub kinds: Vec<Kind>,
+    /// The part of the requests of each organisation, all of one weight; empty where callers aren't told apart.
+    pub organisations: Vec<f64>,
     /// How long callers come.
     pub length: Time,
 }
@@ -137,7 +149,40 @@
             worth: (1.0, 0.3),
             ..bulk.clone()
         };
-        Pattern { instances: 7, slots: 2, kinds: vec![urgent, bulk, long], length: 20_000 * MS }
+        Pattern {
+            instances: 7,
+            slots: 2,
+            kinds: vec![urgent, bulk, long],
+            organisations: Vec::new(),
+            length: 20_000 * MS,
+        }
+    }
+
+    /// The same kinds, of ten organisations: nine ask for six tenths of a tenth of what the server can do, and one for all
+    /// the rest. `load` is what all ask for, as a multiple of what the server can do.
+    pub fn storm(load: f64) -> Pattern {
+        let whole = Pattern::replicas_behind(1.0);
+        let scale = load / whole.load();
+        let mut it = Pattern::replicas_behind(scale);
+        it.organisations = vec![LIGHT / load; 9];
+        it.organisations.push(1.0 - 9.0 * LIGHT / load);
+        it
+    }
+
+    /// The same without the others' callers.
+    pub fn alone(&self, organisation: usize) -> Pattern {
+        let part = self.organisations[organisation];
+        let mut it = Pattern { organisations: vec![1.0], ..self.clone() };
+        for kind in &mut it.kinds {
+            kind.rate *= part;
+        }
+        it
+    }
+
+    /// What is asked for, as a multiple of what the server can do.
+    fn load(&self) -> f64 {
+        let work = |it: &Kind| it.rate * it.usual_statements() * it.cost as f64 / 1e6;
+        self.kinds.iter().map(work).sum::<f64>() / self.slots as f64
     }
 }
 
@@ -154,9 +199,26 @@
     pub refused: u32,
     /// Worth earned, as a part of what all would have been worth.
     pub worth: f64,
+    /// What all would have been worth.
+    owed: f64,
 }
 
 impl Outcome {
+    /// A request was answered.
+    fn note(&mut self, kind: &Kind, took: Time) {
+        match took {
+            took if took <= kind.objective => {
+                self.in_time += 1;
+                self.worth += kind.worth.0;
+            }
+            took if took <= kind.deadline => {
+                self.late += 1;
+                self.worth += kind.worth.1;
+            }
+            _ => self.refused += 1,
+        }
+    }
+
     /// The part that was answered in time.
     pub fn in_time_part(&self) -> f64 {
         f64::from(self.in_time) / f64::from(self.asked.max(1))
@@ -168,6 +230,13 @@
 pub struct Report {
     /// By kind, in the pattern's order.
     pub kinds: Vec<Outcome>,
+    /// By organisation, in the pattern's order.
+    pub organisations: Vec<Outcome>,
+    /// The most that could have been earned, as a part, by one who knows all that will be asked for and never waits: first
+    /// all requests of the organisations that ask for no more than their share, then those of the others that earn most
+    /// for their work, by the usual work of their statements, until the server's time is over. That is the time in which
+    /// callers come and the longest objective; the last request counts in part.
+    pub most: f64,
     /// Worth earned of all, as a part.
     pub worth: f64,
     /// How long refused tries had waited, in milliseconds.
@@ -177,6 +246,7 @@
 /// A request of a caller.
 struct Request {
     kind: usize,
+    organisation: usize,
     first: Time,
     /// Statements that are left, with the one that waits or runs.
     left: u64,
@@ -247,6 +317,7 @@
     running: usize,
     queue: VecDeque<usize>,
     outcomes: Vec<Outcome>,
+    by_organisation: Vec<Outcome>,
     refused_after: Histogram<u64>,
 }
 
@@ -269,6 +340,7 @@
             running: 0,
             queue: VecDeque::new(),
             outcomes: vec![Outcome::default(); pattern.kinds.len()],
+            by_organisation: vec![Outcome::default(); pattern.organisations.len().max(1)],
             refused_after: Histogram::new(3).expect("three digits are allowed"),
         };
         for kind in 0..pattern.kinds.len() {
@@ -313,9 +385,11 @@
             false => 1,
         };
         let instance = self.rng.random_range(0..self.pattern.instances);
+        let organisation = self.caller();
         let (now, left) = (self.now, statements);
         let it = Request {
             kind,
+            organisation,
             first: now,
             left,
             statements,
@@ -325,11 +399,29 @@
             sent: now,
             waiting: false,
         };
-        self.outcomes[kind].asked += 1;
+        for outcome in [&mut self.outcomes[kind], &mut self.by_organisation[organisation]] {
+            outcome.asked += 1;
+            outcome.owed += of.worth.0;
+        }
         self.requests.push(it);
         self.at(0, Event::Arrive(self.requests.len() - 1));
     }
 
+    /// Whose the next request is.
+    fn caller(&mut self) -> usize {
+        let parts = &self.pattern.organisations;
+        if parts.is_empty() {
+            return 0;
+        }
+        let at = self.rng.random_range(0.0..1.0);
+        let mut sum = 0.0;
+        let reached = |it: &f64| {
+            sum += it;
+            sum > at
+        };
+        parts.iter().position(reached).unwrap_or(parts.len() - 1)
+    }
+
     /// Whose turns a request needs.
     fn place(&self, it: usize) -> usize {
         if self.policy == Policy::Shared { 0 } else { self.requests[it].instance }
@@ -338,7 +430,9 @@
     fn rank(&self, it: usize) -> Rank {
         let request = &self.requests[it];
         let kind = &self.pattern.kinds[request.kind];
+        let owner = if self.pattern.organisations.is_empty() { 0 } else { request.organisation as u64 + 1 };
         Rank {
+            share: Share { owner, weight: 1 },
             pinned: request.left < request.statements,
             priority: kind.priority,
             aim: request.arrived + kind.objective - AT_SERVER,
@@ -382,6 +476,7 @@
         request.tries += 1;
         if request.tries > RETRIES || self.now + RETRY_PAUSE >= deadline {
             self.outcomes[request.kind].refused += 1;
+            self.by_organisation[request.organisation].refused += 1;
             return;
         }
         request.left = request.statements;
@@ -446,28 +541,49 @@
     fn finish(&mut self, it: usize) {
         let request = &self.requests[it];
         let kind = &self.pattern.kinds[request.kind];
-        let outcome = &mut self.outcomes[request.kind];
-        match self.now - request.first {
-            took if took <= kind.objective => {
-                outcome.in_time += 1;
-                outcome.worth += kind.worth.0;
-            }
-            took if took <= kind.deadline => {
-                outcome.late += 1;
-                outcome.worth += kind.worth.1;
-            }
-            _ => outcome.refused += 1,
+        let took = self.now - request.first;
+        for outcome in [&mut self.outcomes[request.kind], &mut self.by_organisation[request.organisation]] {
+            outcome.note(kind, took);
         }
     }
 
     fn report(mut self) -> Report {
-        let most = |at: usize, it: &Outcome| f64::from(it.asked) * self.pattern.kinds[at].worth.0;
-        let owed: f64 = self.outcomes.iter().enumerate().map(|(at, it)| most(at, it)).sum();
+        let owed: f64 = self.outcomes.iter().map(|it| it.owed).sum();
         let earned: f64 = self.outcomes.iter().map(|it| it.worth).sum();
-        for (at, kind) in self.pattern.kinds.iter().enumerate() {
-            let it = &mut self.outcomes[at];
-            it.worth /= f64::from(it.asked.max(1)) * kind.worth.0;
+        for it in self.outcomes.iter_mut().chain(&mut self.by_organisation) {
+            it.worth /= it.owed.max(1.0);
+        }
+        let most = self.most() / owed;
+        Report {
+            kinds: self.outcomes,
+            organisations: self.by_organisation,
+            most,
+            worth: earned / owed,
+            refused_after: self.refused_after,
+        }
+    }
+
+    /// The worth of the requests that earn most for their work, as far as the server's time goes.
+    fn most(&self) -> f64 {
+        let kind = |it: &Request| &self.pattern.kinds[it.kind];
+        let work = |it: &Request| (it.statements * kind(it).cost) as f64;
+        let mut asked = vec![0.0; self.by_organisation.len()];
+        for it in &self.requests {
+            asked[it.organisation] += work(it);
+        }
+        let share = (self.pattern.slots as Time * self.pattern.length) as f64 / asked.len() as f64;
+        let later = |it: &Request| !self.pattern.organisations.is_empty() && asked[it.organisation] > share;
+        let item = |it: &Request| (later(it), kind(it).worth.0, work(it));
+        let mut all: Vec<(bool, f64, f64)> = self.requests.iter().map(item).collect();
+        all.sort_by(|a, b| a.0.cmp(&b.0).then((b.1 / b.2).total_cmp(&(a.1 / a.2))));
+        let last = self.pattern.kinds.iter().map(|it| it.objective).max().unwrap_or(0);
+        let mut left = (self.pattern.slots as Time * (self.pattern.length + last)) as f64;
+        let mut sum = 0.0;
+        for (_, worth, work) in all {
+            let part = (left / work).min(1.0);
+            sum += worth * part;
+            left -= work * part;
         }
-        Report { kinds: self.outcomes, worth: earned / owed, refused_after: self.refused_after }
+        sum
     }
 }
