--- a/crates/testbed/tests/lab.rs
+++ b/crates/testbed/tests/lab.rs
@@ -66,3 +66,52 @@
     let again = play(&Pattern::replicas_behind(1.0), Policy::Shared, 7);
     assert_eq!(once.worth.to_bits(), again.worth.to_bits());
 }
+
+fn storm(load: f64) -> impl Iterator<Item = Report> {
+    SEEDS.map(move |seed| play(&Pattern::storm(load), Policy::Shared, seed))
+}
+
+/// Nine organisations ask for six tenths of their share of the server, one for all the rest.
+#[rstest]
+fn an_organisation_within_its_share_gets_what_it_would_get_alone(#[values(1.0, 2.0, 4.0, 10.0)] load: f64) {
+    let pattern = Pattern::storm(load);
+    for organisation in 0..9 {
+        let all = SEEDS.map(|seed| play(&pattern, Policy::Shared, seed).organisations[organisation].worth);
+        let alone = SEEDS.map(|seed| play(&pattern.alone(organisation), Policy::Shared, seed).worth);
+        let (all, alone) = (all.sum::<f64>() / 5.0, alone.sum::<f64>() / 5.0);
+        assert!(all >= 0.9 * alone, "{load} {organisation}: {all} {alone}");
+    }
+}
+
+/// Two of the three kinds may be left out and share a tenth of the server's time; half of that is for overheads.
+#[rstest]
+fn no_kind_and_no_organisation_starves(#[values(1.0, 2.0, 4.0, 10.0)] load: f64) {
+    let pattern = Pattern::storm(load);
+    for it in storm(load) {
+        for (kind, got) in pattern.kinds.iter().zip(&it.kinds) {
+            let part = f64::from(got.in_time + got.late) * kind.cost as f64
+                / (pattern.slots as f64 * pattern.length as f64);
+            assert!(part >= 0.025, "{load} {}: {part} {got:?}", kind.name);
+        }
+        for got in &it.organisations {
+            assert!(got.in_time > 0, "{load}: {got:?}");
+        }
+    }
+}
+
+/// Worth, as a part of the most that it could be with what is promised to organisations; see `Report::most`.
+fn part_of_most(load: f64) -> f64 {
+    storm(load).map(|it| it.worth / it.most).sum::<f64>() / 5.0
+}
+
+#[test]
+fn what_is_served_is_worth_nearly_as_much_as_could_be() {
+    let part = part_of_most(1.0);
+    assert!(part >= 0.9, "{part}");
+}
+
+#[test]
+fn what_is_served_of_many_times_the_load_is_worth_nearly_as_much_as_could_be() {
+    let parts = [2.0, 4.0, 10.0].map(part_of_most);
+    assert!(parts.iter().all(|it| *it >= 0.9), "{parts:?}");
+}
