Turns: an owner's share is for its most urgent work first

Change: an owner has a time for each priority, of the work of that priority and the more urgent ones.

--- a/crates/core/src/turn.rs
+++ b/crates/core/src/turn.rs
@@ -225,7 +225,7 @@
             if last.replace(it.share.owner) != Some(it.share.owner) {
                 done = 0.0;
             }
-            let key = Key { ahead: self.owners.ahead(it.share, done), ..self.order(it, now) };
+            let key = Key { ahead: self.owners.ahead(it.share, it.priority, done), ..self.order(it, now) };
             done += self.work(it);
             if is_own { own = Some(key) } else { keys.push(key) }
         }
@@ -287,7 +287,7 @@
         let (rank, it) = self.waiting.remove(lifted.map_or(best, |it| it.0));
         let work = self.work(&rank);
         self.least.note(kind(&rank), work, lifted.map(|it| it.1));
-        self.owners.charge(rank.share, work);
+        self.owners.charge(rank.share, rank.priority, work);
         self.note_cost(rank);
         Some(it)
     }
@@ -317,11 +317,11 @@
     /// Whether this is of a kind that is left out, while its owner is within its share and its answer of use.
     fn may_be_lifted(&self, rank: &Rank, now: Time) -> bool {
         let useful = !rank.pinned && now <= rank.aim;
-        useful && self.least.is_left_out(kind(rank)) && self.owners.ahead(rank.share, 0.0) == 0
+        useful && self.least.is_left_out(kind(rank)) && self.owners.ahead(rank.share, rank.priority, 0.0) == 0
     }
 
     fn key(&self, rank: &Rank, now: Time) -> Key {
-        Key { ahead: self.owners.ahead(rank.share, 0.0), ..self.order(rank, now) }
+        Key { ahead: self.owners.ahead(rank.share, rank.priority, 0.0), ..self.order(rank, now) }
     }
 
     /// The order within an owner.
--- a/crates/core/src/turn/fair.rs
+++ b/crates/core/src/turn/fair.rs
@@ -2,6 +2,9 @@
 //!
 //! An owner's time goes on by the work of its turns, divided by its weight. The server's time is that of the owner that
 //! waits and is furthest behind. One that comes back after a pause begins there: it has saved nothing up, and owes nothing.
+//!
+//! An owner's share is for its most urgent work first: work of one priority is ahead of the share by what the owner has had of
+//! that priority and the more urgent ones.
 
 use super::Share;
 
@@ -10,16 +13,42 @@
 const LEAD: f64 = 20_000.0;
 
 /// One owner.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Flow {
     owner: u64,
     weight: f64,
-    /// Its time: the work that it has had, by its weight.
-    time: f64,
+    /// Its times: the work that it has had of each priority and the more urgent ones, by its weight. Sorted.
+    times: Vec<(u8, f64)>,
     /// Its statements that wait.
     waiting: usize,
 }
 
+impl Flow {
+    fn new(share: Share) -> Flow {
+        Flow { owner: share.owner, weight: weight(share), times: Vec::new(), waiting: 0 }
+    }
+
+    /// Its time in all.
+    fn whole(&self) -> f64 {
+        self.times.last().map_or(0.0, |it| it.1)
+    }
+
+    /// Its time for work of a priority and the more urgent ones.
+    fn time(&self, priority: u8) -> f64 {
+        let at = self.times.partition_point(|it| it.0 <= priority);
+        self.times[..at].last().map_or(0.0, |it| it.1)
+    }
+
+    fn add(&mut self, priority: u8, work: f64, now: f64) {
+        if let Err(at) = self.times.binary_search_by_key(&priority, |it| it.0) {
+            self.times.insert(at, (priority, self.time(priority)));
+        }
+        for it in self.times.iter_mut().filter(|it| it.0 >= priority) {
+            it.1 = it.1.max(now) + work / self.weight;
+        }
+    }
+}
+
 /// The owners that wait, and those that have had more than their share.
 #[derive(Debug, Default)]
 pub(super) struct Owners {
@@ -47,10 +76,7 @@
 
     /// A statement waits.
     pub(super) fn join(&mut self, share: Share) {
-        let now = self.now;
-        let it = self.flow(share);
-        it.time = it.time.max(now);
-        it.waiting += 1;
+        self.flow(share).waiting += 1;
         self.advance();
     }
 
@@ -62,19 +88,18 @@
     }
 
     /// A statement that waited gets a turn of so much work, in microseconds.
-    pub(super) fn charge(&mut self, share: Share, work: f64) {
-        let it = self.flow(share);
-        it.time += work / it.weight;
+    pub(super) fn charge(&mut self, share: Share, priority: u8, work: f64) {
+        let now = self.now;
+        self.flow(share).add(priority, work, now);
         self.leave(share);
     }
 
-    /// The time of an owner that has had more than its share, once so much more of its work is done; 0 of others. The
-    /// lowest goes first.
-    pub(super) fn ahead(&self, share: Share, work: f64) -> u64 {
-        let known = self.find(share.owner).ok().map(|at| self.flows[at]);
-        let (time, weight) = known.map_or((self.now, weight(share)), |it| (it.time.max(self.now), it.weight));
-        let time = time + work / weight;
-        if (time - self.now) * weight <= LEAD { 0 } else { time as u64 }
+    /// The time of an owner that has had more than its share in work as urgent as this, once so much more of it is done; 0
+    /// of others. The lowest goes first.
+    pub(super) fn ahead(&self, share: Share, priority: u8, work: f64) -> u64 {
+        let known = self.find(share.owner).map_or(0.0, |at| self.flows[at].time(priority));
+        let time = known.max(self.now) + work / weight(share);
+        if (time - self.now) * weight(share) <= LEAD { 0 } else { time as u64 }
     }
 
     fn find(&self, owner: u64) -> Result<usize, usize> {
@@ -83,8 +108,7 @@
 
     fn flow(&mut self, share: Share) -> &mut Flow {
         let at = self.find(share.owner).unwrap_or_else(|at| {
-            let (owner, weight) = (share.owner, weight(share));
-            self.flows.insert(at, Flow { owner, weight, time: self.now, waiting: 0 });
+            self.flows.insert(at, Flow::new(share));
             at
         });
         let it = &mut self.flows[at];
@@ -94,12 +118,12 @@
 
     /// Brings the server's time up, and forgets those that neither wait nor are ahead of it.
     fn advance(&mut self) {
-        let times = self.flows.iter().filter(|it| it.waiting > 0).map(|it| it.time);
+        let times = self.flows.iter().filter(|it| it.waiting > 0).map(Flow::whole);
         match times.min_by(f64::total_cmp) {
             Some(least) => {
                 self.now = self.now.max(least);
                 let now = self.now;
-                self.flows.retain(|it| it.waiting > 0 || it.time > now);
+                self.flows.retain(|it| it.waiting > 0 || it.whole() > now);
             }
             // Where nobody waits, nobody goes without.
             None => *self = Owners::default(),
--- a/crates/core/tests/turn.rs
+++ b/crates/core/tests/turn.rs
@@ -256,6 +256,16 @@
     }
 }
 
+/// The storm is of ordinary work; its organisation's urgent work is within the share.
+#[rstest]
+fn a_storm_of_ordinary_work_costs_its_owners_urgent_work_nothing(#[values(1, 2, 3)] seed: u64) {
+    let mut all: Vec<Asked> = (1..=9).map(|owner| ask(owner, 2, 10 * MS, 0.08)).collect();
+    all.push(ask(10, 2, 10 * MS, 0.8));
+    all.push(ask(10, 1, 5 * MS, 0.03));
+    let (got, _) = play(&all, seed);
+    assert!(got[10].in_time_part() >= 0.95, "{:?}", got[10]);
+}
+
 /// Three kinds in equal parts, of one organisation, at many times what the server can do.
 #[rstest]
 fn no_kind_goes_without(#[values(1.0, 2.0, 4.0, 10.0)] load: f64, #[values(1, 2, 3)] seed: u64) {
