--- a/crates/engine/src/count.rs
+++ b/crates/engine/src/count.rs
@@ -47,6 +47,10 @@
     Lent,
     /// Limiters that couldn't be reached, left, or did not answer a loan in time.
     LimiterLost,
+    /// Turns refused, as a server has too much to do to answer in time.
+    TurnsRefused,
+    /// Turns handed out to kinds of work that the order leaves out.
+    TurnsLifted,
     /// Callers refused for their key.
     Denied,
     /// Connections to servers opened.
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -5,7 +5,7 @@
         ask::give_direct,
         channel::{Channel, Direct, NoWay, Sending, What},
         count::Count,
-        dispatch::{TURN_MOST, tell_homes},
+        dispatch::{TURN_MOST, count_lifted, tell_homes},
         group::{Group, sightings},
         handout,
         instance::{Instance, Micros, accept_all, micros},
@@ -188,7 +188,9 @@
         }
         let rank = Rank { aim: it.rank.aim + inst.now(), ..it.rank };
         let until = Instant::now() + Duration::from_millis(it.wait_ms.into());
-        match up.shared.enter(rank, Some(it.slow), until).await {
+        let turn = up.shared.enter(rank, Some(it.slow), until).await;
+        count_lifted(inst, &up);
+        match turn {
             Turn::Granted(permit) => {
                 progress.send();
                 // A link that has closed meanwhile needs no turn.
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -20,7 +20,7 @@
     pondtrack_core::{
         budget::{Allowance, Budget, Rule, Wait},
         retry::Backoff,
-        turn::Rank,
+        turn::{Rank, Share},
     },
     pondtrack_proto::Mark,
     std::{cell::Cell, rc::Rc, time::Duration},
@@ -274,8 +274,15 @@
         Instant::now() >= self.hold()
     }
 
+    /// Whose share of a server it uses, where callers are told apart.
+    fn share(&self) -> Share {
+        let Some(desired) = self.inst.desired() else { return Share::default() };
+        desired.organisations.as_ref().map(|it| it.share(&self.owner)).unwrap_or_default()
+    }
+
     fn rank(&self) -> Rank {
         Rank {
+            share: self.share(),
             pinned: false,
             priority: self.route.priority,
             aim: self.since + micros(self.route.objective),
