Refusals: one that comes too late is known to the next

After a refusal whose time was after the caller's the last place wasn't set, so that whoever came next was told the next step from now, though there was no room for seconds: a promise that didn't hold, in place of TooLate.

The place is the next one's as its caller won't take it, so the last one told counts as a step before it.

Test: a_refusal_that_comes_too_late_is_known_to_the_next, red before (the next was told Room).

--- a/crates/core/src/retry_after.rs
+++ b/crates/core/src/retry_after.rs
@@ -125,7 +125,11 @@
             None => RetryAfter::Room { after: places.after },
             Some(urgency) => {
                 it.until = until;
-                it.tell(now + places.skip(0).after, urgency.left, now)
+                let place = now + places.skip(0).after;
+                let told = it.tell(place, urgency.left, now);
+                // A place that its caller can't wait for is the next one's, who is told none before it.
+                it.last = it.last.max(place.saturating_sub(it.step));
+                told
             }
         }
     }
--- a/crates/core/tests/retry_after.rs
+++ b/crates/core/tests/retry_after.rs
@@ -174,3 +174,25 @@
         known.known(&Name::from("acme"), urgency(1), SECOND);
     }
 }
+
+/// Whoever comes after one that came too late is told no sooner place than there is.
+#[test]
+fn a_refusal_that_comes_too_late_is_known_to_the_next() {
+    let acme = Name::from("acme");
+    let mut it = Refusals::default();
+    let late = Places { after: 5 * SECOND, ..PLACE };
+    assert_eq!(it.refused(&acme, urgency(1), late, SECOND), RetryAfter::TooLate { after: 5 * SECOND });
+    assert!(matches!(it.known(&acme, urgency(1), SECOND), Some(RetryAfter::TooLate { .. })));
+    // The place is still there, for one that can wait for it.
+    let patient = Some(Urgency { priority: 1, left: LONG });
+    assert_eq!(it.known(&acme, patient, SECOND), Some(RetryAfter::Room { after: 5 * SECOND }));
+    assert_eq!(it.known(&acme, patient, SECOND), Some(RetryAfter::Room { after: 5 * SECOND + 20_000 }));
+    // It holds as long as the refusal does, and no longer.
+    assert_eq!(it.known(&acme, Some(Urgency { priority: 2, left: LONG }), SECOND), None);
+    let mut it = Refusals::default();
+    it.refused(&acme, urgency(1), late, SECOND);
+    assert_eq!(it.known(&acme, urgency(1), SECOND + 200_000), None);
+    it.refused(&acme, urgency(1), PLACE, SECOND + 200_000);
+    let told = it.known(&acme, urgency(1), SECOND + 200_000).map(RetryAfter::after);
+    assert_eq!(told, Some(80_000));
+}
