Lending: without quotas an instance looks once a period

When a new configuration had no quotas any longer, lanes stayed due and the loop woke every 5 ms for good; without any quotas ever it woke every 50 ms. It sleeps a whole period then: quotas that come are in force so much later at most.

Test: an_instance_without_quotas_has_nothing_to_look_after, red before (the pause was shorter than a period).

--- a/crates/engine/src/limit/lending.rs
+++ b/crates/engine/src/limit/lending.rs
@@ -144,7 +144,10 @@
     }
 
     /// How long until the next messages to limiters.
-    fn pause(&self, inst: &Instance) -> Duration {
+    pub fn pause(&self, inst: &Instance) -> Duration {
+        if inst.desired().is_some_and(|it| it.organisations.is_none()) {
+            return Duration::from_micros(PERIOD);
+        }
         let now = inst.now();
         let limiters = self.limiters.borrow();
         let placed = limiters.as_ref().is_some_and(|it| self.lender.borrow().is_placed(it, now));
