Pacing: bounds on what others tell of the fleet's size and of terms

A count of u32::MAX made the period about 99 days, and the term for the rest of the process, as terms never fall; a loan with a term of u64::MAX never ended at its limiter. Lanes that wait for longer than a period are brought forward once the fleet is counted smaller; the pause before one that is lost stays.

Left: an instance's share is still 1 / the number told, as a bound there could add up to more than the limit.

Tests in core/tests/lending.rs: a_fleet_that_is_told_too_large_is_soon_forgotten and no_loan_lasts_longer_than_in_the_largest_fleet, both red before; one_that_is_lost_is_not_asked_sooner holds the pause.

--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -37,7 +37,7 @@
     grant::{Grant, LONGEST, Places},
     lender::Lender,
     limiter::{Limiter, Offer},
-    pacing::{ANSWERS, PATIENCE, PERIOD, Pacing},
+    pacing::{ANSWERS, LONGEST_TERM, PATIENCE, PERIOD, Pacing},
     urgency::{Demand, Urgency},
 };
 
--- a/crates/core/src/quota/lender.rs
+++ b/crates/core/src/quota/lender.rs
@@ -1,7 +1,7 @@
 //! Where the shares of an instance are.
 
 use {
-    super::{SLOTS, Slots, TERM},
+    super::{LONGEST_TERM, SLOTS, Slots, TERM},
     pondtrack_proto::Name,
 };
 
@@ -30,9 +30,9 @@
         Lender { places: std::array::from_fn(|_| Place::Unknown { since: now }), term: TERM }
     }
 
-    /// The term of the loans that follow, which their messages name: at least so long.
+    /// The term of the loans that follow, which their messages name: at least so long, up to [`LONGEST_TERM`].
     pub fn set_term(&mut self, least: u64) -> u64 {
-        self.term = self.term.max(least);
+        self.term = self.term.max(least.min(LONGEST_TERM));
         self.term
     }
 
--- a/crates/core/src/quota/limiter.rs
+++ b/crates/core/src/quota/limiter.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Demand, Grant, HOLD, Limits, Places, SECOND, SLOTS, Slots, Stamp, TERM,
+        Demand, Grant, HOLD, LONGEST_TERM, Limits, Places, SECOND, SLOTS, Slots, Stamp, TERM,
         reserve::{Reserve, Supply},
         slot,
     },
@@ -126,7 +126,8 @@
 
     /// The same for a term that the lender names, and counts by itself.
     pub fn offered(&mut self, lender: &Name, seq: u64, offer: Offer, now: u64) -> Slots {
-        let Offer { slots, share, since, term } = offer;
+        let Offer { slots, share, since, .. } = offer;
+        let term = offer.term.min(LONGEST_TERM);
         let known = since.filter(|it| it.process == self.process && it.at <= now);
         let until = known.map_or(0, |it| it.at.saturating_add(term));
         let is_new = self.hear(lender, seq, now.saturating_add(term), now);
--- a/crates/core/src/quota/pacing.rs
+++ b/crates/core/src/quota/pacing.rs
@@ -33,6 +33,11 @@
 const DOUBLINGS: u32 = 8;
 /// Periods that a loan has to outlast, as it counts from the message before: one whose message is lost.
 const OUTLASTS: u64 = 3;
+/// The largest fleet that is reckoned with: twice the 760 instances that the product is made for, as all may be replaced at
+/// once, and some room. Others may tell any number.
+const FLEET: u64 = 1_600;
+/// The longest term of a loan, in microseconds: that of the largest fleet. Others may name any.
+pub const LONGEST_TERM: u64 = TERM + OUTLASTS * (span(FLEET) - PERIOD);
 
 /// What is known of a limiter.
 #[derive(Clone, Debug)]
@@ -61,17 +66,22 @@
     lanes: Vec<Lane>,
 }
 
+/// The time in which one limiter can have the first messages of so many instances.
+const fn span(instances: u64) -> u64 {
+    instances * FIRST * 1_000_000 / DEALT
+}
+
 impl Pacing {
     /// Takes in how many instances there are, and how many of them come before this one in an order that is the same on
     /// all.
     pub fn set_fleet(&mut self, place: usize, instances: usize) {
         self.place = place as u64;
-        self.instances = instances as u64;
+        self.instances = (instances as u64).min(FLEET);
     }
 
     /// The time in which one limiter can have the first messages of all instances.
     fn span(&self) -> u64 {
-        self.instances * FIRST * 1_000_000 / DEALT
+        span(self.instances)
     }
 
     /// Between two messages to a limiter.
@@ -101,6 +111,11 @@
                 self.lanes.insert(at, lane);
             }
         }
+        let pause = RETRY_MOST.max(2 * self.span());
+        for it in &mut self.lanes {
+            // The fleet may have been taken for a larger one.
+            it.due = it.due.min(now + if it.is_lost { pause } else { period });
+        }
         let mut out = Vec::new();
         for it in self.lanes.iter_mut().filter(|it| !it.is_asked && it.due <= now) {
             it.is_asked = true;
--- a/crates/core/tests/lending.rs
+++ b/crates/core/tests/lending.rs
@@ -4,7 +4,10 @@
 use {
     pondtrack_core::{
         place,
-        quota::{ANSWERS, Demand, Lender, Limiter, Limits, Offer, Pacing, SLOTS, Slots, Stamp, TERM, slot},
+        quota::{
+            ANSWERS, Demand, LONGEST_TERM, Lender, Limiter, Limits, Offer, PERIOD, Pacing, SLOTS, Slots,
+            Stamp, TERM, slot,
+        },
     },
     pondtrack_proto::Name,
     rand::{Rng, RngExt, SeedableRng},
@@ -553,3 +556,55 @@
 fn a_wrong_term_is_found(#[case] fault: Fault) {
     assert!((0..40).any(|seed| terms(seed, fault)), "{fault:?}");
 }
+
+/// Whatever others tell of the fleet's size, an instance speaks to its limiters again soon.
+#[test]
+fn a_fleet_that_is_told_too_large_is_soon_forgotten() {
+    let limiters = [Name::from("a"), Name::from("b")];
+    let mut it = Pacing::default();
+    it.set_fleet(0, u32::MAX as usize);
+    assert!(it.period() <= 4 * SECOND && it.term() <= LONGEST_TERM);
+    assert_eq!(it.due(&limiters, SECOND), limiters);
+    limiters.iter().for_each(|name| it.ended(name));
+    it.set_fleet(0, 9);
+    assert!(it.due(&limiters, SECOND).is_empty());
+    assert!(it.next(SECOND).is_some_and(|next| next <= PERIOD), "{:?}", it.next(SECOND));
+}
+
+/// A pause before one that is lost is asked again stays as long as it has to be.
+#[test]
+fn one_that_is_lost_is_not_asked_sooner() {
+    let limiter = Name::from("a");
+    let audience = std::slice::from_ref(&limiter);
+    let mut it = Pacing::default();
+    it.set_fleet(0, 9);
+    let now = 10 * SECOND;
+    assert_eq!(it.due(audience, now), audience);
+    (0..9).for_each(|_| it.missed(&limiter, 500_000, now));
+    it.ended(&limiter);
+    assert!(it.due(audience, now + 900_000).is_empty());
+    assert_eq!(it.due(audience, now + SECOND), audience);
+}
+
+#[test]
+fn no_loan_lasts_longer_than_in_the_largest_fleet() {
+    let lender = Name::from("lender");
+    let mut it = Limiter::new(1);
+    let mut slots = Slots::default();
+    slots.insert(0);
+    let offer = Offer { slots, share: 1.0, since: Some(it.stamp(SECOND)), term: u64::MAX };
+    it.offered(&lender, 1, offer, SECOND);
+    let organisation = organisation(0);
+    let mut share = |now: u64| {
+        it.claim(&organisation, LIMITS, Demand::plain(1), now);
+        it.share(&organisation)
+    };
+    assert_eq!(share(SECOND + LONGEST_TERM - 1), 1.0);
+    assert_eq!(share(SECOND + LONGEST_TERM), 0.0);
+    // The lender counts as long.
+    let mut lender = Lender::new(0);
+    assert_eq!(lender.set_term(u64::MAX), LONGEST_TERM);
+    assert!(lender.lend(0, &Name::from("a"), true, SECOND));
+    assert!(!lender.lend(0, &Name::from("b"), true, SECOND + LONGEST_TERM - 1));
+    assert!(lender.lend(0, &Name::from("b"), true, SECOND + LONGEST_TERM));
+}
