Lending: a limiter that hands a share back isn't told again at once for that

Where the slot's limiter is the one that has just answered that it doesn't use the share, its lane was hurried to now: a message each 5 ms, beside the pacing. A second message at once is sent anyhow where the answer differs from what was sent.

No test of its own: Limit::took is private, and a limiter that answers so has to be a restarted lender's.

--- a/crates/engine/src/limit/lending.rs
+++ b/crates/engine/src/limit/lending.rs
@@ -129,7 +129,8 @@
         let back = self.lender.borrow_mut().returned(from, used);
         if let Some(limiters) = &*self.limiters.borrow() {
             let mut pacing = self.pacing.borrow_mut();
-            let slots = limiters.iter().enumerate().filter(|it| back.contains(it.0));
+            // The one that has just answered has its next message in its time.
+            let slots = limiters.iter().enumerate().filter(|it| back.contains(it.0) && it.1 != from);
             slots.for_each(|it| pacing.hurry(it.1, now));
         }
         let mut stamps = self.stamps.borrow_mut();
