Lending: an ignored offer's answer gives no share back

A restarted lender's numbers begin anew: the limiter ignored its offers until the earlier process's time was over, but answered that it used nothing, which the lender took for a return. A late offer counted afterwards: a share at two limiters. Ruled out: the process's number in each message, which doesn't order two processes. The limiter now says that it ignored the offer, and the lender takes nothing for returned; its share is idle for up to a term, as written down.

Test: an_answer_to_an_ignored_offer_gives_nothing_back, red with returned() called all the same (at its first check).

--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -19,8 +19,8 @@
 //!
 //! What must hold, in any window: tokens granted by all limiters together stay within the rate times the window, the
 //! burst, [`Limits::margin`], and the tokens that come in within [`HOLD`]. Each start of a limiter's process in the
-//! window adds the margin once more, and each start of a lender's the tokens of its share within a term, if that was
-//! with another than the usual limiter.
+//! window adds the margin once more, and each start of a lender's the tokens of its share within a term of its earlier
+//! process, which may have been longer than the new one's, if that was with another than the usual limiter.
 //!
 //! The term is [`TERM`], and longer in a large fleet. The lender names it in each message and counts it from the time it
 //! sends that, the limiter from the earlier moment that it told: the limiter's is over first, whatever the term. A
@@ -36,7 +36,7 @@
 pub use self::{
     grant::{Grant, LONGEST, Places},
     lender::Lender,
-    limiter::{Limiter, Offer},
+    limiter::{Limiter, Offer, Reply},
     pacing::{ANSWERS, LONGEST_TERM, PATIENCE, PERIOD, Pacing},
     urgency::{Demand, Urgency},
 };
--- a/crates/core/src/quota/lender.rs
+++ b/crates/core/src/quota/lender.rs
@@ -1,7 +1,7 @@
 //! Where the shares of an instance are.
 
 use {
-    super::{LONGEST_TERM, SLOTS, Slots, TERM},
+    super::{LONGEST_TERM, Reply, SLOTS, Slots, TERM},
     pondtrack_proto::Name,
 };
 
@@ -87,6 +87,15 @@
         all.filter(|it| it.1 > now).collect()
     }
 
+    /// An instance has answered an offer. Hands back the slots whose shares came back: none where it ignored the
+    /// offer, as one that is still under way may count after all.
+    pub fn answered(&mut self, from: &Name, answer: Reply) -> Slots {
+        match answer.is_ignored {
+            true => Slots::default(),
+            false => self.returned(from, answer.used),
+        }
+    }
+
     /// An instance has said that it uses the shares of these slots alone. Hands back those that came back.
     pub fn returned(&mut self, from: &Name, kept: Slots) -> Slots {
         let mut back = Slots::default();
--- a/crates/core/src/quota/limiter.rs
+++ b/crates/core/src/quota/limiter.rs
@@ -7,6 +7,7 @@
         slot,
     },
     pondtrack_proto::Name,
+    serde::{Deserialize, Serialize},
 };
 
 /// A bucket that nobody asked for this long is forgotten, in microseconds.
@@ -25,6 +26,16 @@
     pub term: u64,
 }
 
+/// What a limiter answers to an offer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The slots whose shares of the lender are used.
+    pub used: Slots,
+    /// Whether the offer was ignored, as a newer message seems to have come before. The newer one may
+    /// be an earlier process's, after whose time messages of the lender count again.
+    pub is_ignored: bool,
+}
+
 /// A share that was lent.
 #[derive(Clone, Debug)]
 struct Loan {
@@ -121,11 +132,11 @@
         since: Option<Stamp>,
         now: u64,
     ) -> Slots {
-        self.offered(lender, seq, Offer { slots, share, since, term: TERM }, now)
+        self.offered(lender, seq, Offer { slots, share, since, term: TERM }, now).used
     }
 
     /// The same for a term that the lender names, and counts by itself.
-    pub fn offered(&mut self, lender: &Name, seq: u64, offer: Offer, now: u64) -> Slots {
+    pub fn offered(&mut self, lender: &Name, seq: u64, offer: Offer, now: u64) -> Reply {
         let Offer { slots, share, since, .. } = offer;
         let term = offer.term.min(LONGEST_TERM);
         let known = since.filter(|it| it.process == self.process && it.at <= now);
@@ -142,7 +153,7 @@
                 used.insert(n);
             }
         }
-        used
+        Reply { used, is_ignored: !is_new }
     }
 
     /// Takes in that a message has come, before which none can lend after a time; says whether none after it has.
--- a/crates/core/tests/lending.rs
+++ b/crates/core/tests/lending.rs
@@ -254,8 +254,8 @@
         let now = self.clock(at);
         let (seq, offer) = self.offer(at, at);
         let it = &mut self.members[at];
-        let used = it.limiter.offered(&it.name, seq, offer, now);
-        it.lender.returned(&it.name, used);
+        let answer = it.limiter.offered(&it.name, seq, offer, now);
+        it.lender.answered(&it.name, answer);
         it.stamps.insert(at, it.limiter.stamp(now));
     }
 
@@ -295,7 +295,7 @@
         let (to, seq, offer) = (it.to, it.seq, it.offer);
         let (now, name) = (self.clock(to), self.members[it.from].name.clone());
         let limiter = &mut self.members[to].limiter;
-        let used = limiter.offered(&name, seq, offer, now);
+        let used = limiter.offered(&name, seq, offer, now).used;
         let bits = (0..SLOTS).filter(|it| used.contains(*it)).fold(0, |all, it| all | 1 << it);
         let way = self.rng.random_range(1..WAY);
         self.put(self.now + way, Event::Told { id, slots: bits, stamp: now, process });
@@ -525,11 +525,11 @@
             if fault == Fault::CountsFromArrival {
                 offer.since = Some(stamp);
             }
-            let used = limiters[to].offered(&Name::from("lender"), seq, offer, now);
+            let answer = limiters[to].offered(&Name::from("lender"), seq, offer, now);
             if asked[to].0 == seq {
                 asked[to].1 = now;
                 stamps[to] = Some(stamp);
-                lender.returned(&names[to], used);
+                lender.answered(&names[to], answer);
             }
         }
         let organisation = organisation(0);
@@ -608,3 +608,39 @@
     assert!(!lender.lend(0, &Name::from("b"), true, SECOND + LONGEST_TERM - 1));
     assert!(lender.lend(0, &Name::from("b"), true, SECOND + LONGEST_TERM));
 }
+
+/// The numbers of a lender's messages begin anew with its process. The limiter ignores those of the new one until the
+/// earlier one's time is over, and one that was late counts then.
+#[test]
+fn an_answer_to_an_ignored_offer_gives_nothing_back() {
+    let (name, names) = (Name::from("lender"), [Name::from("a"), Name::from("b")]);
+    let mut limiters = [Limiter::new(1), Limiter::new(2)];
+    let mut slots = Slots::default();
+    slots.insert(0);
+    let now = 10 * SECOND;
+    let offer =
+        |it: &Limiter, slots, now| Offer { slots, share: 1.0, since: Some(it.stamp(now)), term: TERM };
+    // The earlier process says good-bye.
+    let last = offer(&limiters[0], Slots::default(), now);
+    assert!(!limiters[0].offered(&name, 1_000, last, now).is_ignored);
+    // Two messages of the new one lend; the first is late.
+    let mut lender = Lender::new(now);
+    assert!(lender.lend(0, &names[0], true, now));
+    let now = now + TERM - 100_000;
+    let late = offer(&limiters[0], slots, now);
+    assert!(lender.lend(0, &names[0], true, now));
+    let ignored = limiters[0].offered(&name, 2, late, now);
+    assert!(ignored.is_ignored && ignored.used.is_empty());
+    assert!(lender.answered(&names[0], ignored).is_empty());
+    // Another is its limiter now: it isn't lent to while the late one may count.
+    let lent = lender.lend(0, &names[1], false, now + 1);
+    let now = now + 200_000;
+    assert!(!limiters[0].offered(&name, 1, late, now).is_ignored);
+    if lent {
+        let other = offer(&limiters[1], slots, now);
+        limiters[1].offered(&name, 3, other, now);
+    }
+    let fills = limiters.iter().filter(|it| it.share(&organisation(0)) > 0.0).count();
+    assert_eq!((lent, fills), (false, 1));
+    assert!(lender.lend(0, &names[1], false, now + TERM));
+}
--- a/crates/engine/src/limit/lending.rs
+++ b/crates/engine/src/limit/lending.rs
@@ -9,7 +9,7 @@
     },
     pondtrack_core::{
         place::{self, Candidate},
-        quota::{Offer, PERIOD, Slots, Stamp},
+        quota::{Offer, PERIOD, Reply, Slots, Stamp},
     },
     pondtrack_proto::Name,
     std::{rc::Rc, time::Duration},
@@ -41,11 +41,11 @@
         let slots = if leaving { Slots::default() } else { it.slots };
         let mut limiter = self.limiter.borrow_mut();
         let offer = Offer { slots, share: it.share, since: it.since, term: it.term };
-        let slots = limiter.offered(&it.from, it.seq, offer, now);
+        let answer = limiter.offered(&it.from, it.seq, offer, now);
         let version = inst.desired().map(|it| it.version);
         let age = inst.unconfirmed().map(|it| (it / 1_000) as u32);
         let count = self.count.get().most as u32;
-        Told::Lent { slots, stamp: limiter.stamp(now), leaving, count, confirmed: version.zip(age) }
+        Told::Lent { answer, stamp: limiter.stamp(now), leaving, count, confirmed: version.zip(age) }
     }
 
     /// Counts the instances that share the limits, and finds the limiter of each slot.
@@ -125,8 +125,8 @@
     }
 
     /// An instance has answered a loan; says whether another message at once makes it whole.
-    fn took(&self, from: &Name, sent: Slots, used: Slots, stamp: Stamp, now: Micros) -> bool {
-        let back = self.lender.borrow_mut().returned(from, used);
+    fn took(&self, from: &Name, sent: Slots, answer: Reply, stamp: Stamp, now: Micros) -> bool {
+        let back = self.lender.borrow_mut().answered(from, answer);
         if let Some(limiters) = &*self.limiters.borrow() {
             let mut pacing = self.pacing.borrow_mut();
             // The one that has just answered has its next message in its time.
@@ -141,7 +141,7 @@
                 false
             }
         };
-        !known || used != sent
+        !known || !answer.is_ignored && answer.used != sent
     }
 
     /// How long until the next messages to limiters.
@@ -205,8 +205,8 @@
     let me = &inst.settings.name;
     for _ in 0..2 {
         let lending = limit.lending(inst, me);
-        let Told::Lent { slots, stamp, .. } = limit.lent(inst, &lending) else { return };
-        if !limit.took(me, lending.slots, slots, stamp, inst.now()) {
+        let Told::Lent { answer, stamp, .. } = limit.lent(inst, &lending) else { return };
+        if !limit.took(me, lending.slots, answer, stamp, inst.now()) {
             return;
         }
     }
@@ -221,11 +221,11 @@
         let (sent, asked) = (lending.slots, inst.now());
         let patience = Duration::from_micros(limit.pacing.borrow().patience());
         match timeout(patience, peer.ask(&inst, Ask::Lend(lending))).await {
-            Ok(Told::Lent { slots, stamp, leaving, count, confirmed }) => {
+            Ok(Told::Lent { answer, stamp, leaving, count, confirmed }) => {
                 limit.answered.set(inst.now());
                 note(&limit.told, count as usize, inst.now());
                 hear(&inst, confirmed, asked);
-                let again = limit.took(&to, sent, slots, stamp, inst.now());
+                let again = limit.took(&to, sent, answer, stamp, inst.now());
                 if leaving {
                     limit.missed(&inst, &to);
                     break;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -15,7 +15,7 @@
     bytes::{Bytes, BytesMut},
     pondtrack_core::{
         capacity::Capacity,
-        quota::{Demand, Grant, Slots, Stamp},
+        quota::{Demand, Grant, Reply, Slots, Stamp},
         turn::Rank,
     },
     pondtrack_proto::{Incarnation, Mark, Name, Revision},
@@ -312,8 +312,8 @@
     Part(Part),
     /// The other one's shares are used here, and the present moment.
     Lent {
-        /// The slots.
-        slots: Slots,
+        /// The slots, and whether the message was ignored.
+        answer: Reply,
         /// The moment.
         stamp: Stamp,
         /// Whether the instance leaves, so that others should be asked.
