Reserve: places that have passed are taken from the front; comments and a name

Places rise, so each claim looks at those that have passed and not at up to 1,024. The rest is lines of more than 120 columns, comments on KINDS and SLOTS that were wrong, and a private rank beside place::rank (now key). Behaviour is the same: core's urgency, lending, place and retry_after tests pass.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -2,12 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
-/// An instance is chosen at most so many times as often as the smallest one: the loss of a strong one moves what it was chosen
-/// for to others all at once, and callers wait meanwhile.
+/// An instance is chosen at most so many times as often as the smallest one: the loss of a strong one moves what it was
+/// chosen for to others all at once, and callers wait meanwhile.
 pub const MOST_WEIGHT: f64 = 8.0;
 
-/// The resources of an instance, as its settings state them; 0 is none that is stated. They rise in the order of the fields: the scarcest one beside
-/// what the work needs decides how much an instance takes on.
+/// The resources of an instance, as its settings state them; 0 is none that is stated. They rise in the order of the
+/// fields: the scarcest one beside what the work needs decides how much an instance takes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Capacity {
     /// Processor time, in thousandths of a core.
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -102,7 +102,7 @@
 
 impl<'a> Candidate<'a> {
     /// Sorts it among others, the winner first.
-    fn rank(&self, subject: &str, is_even: bool) -> (Reverse<u64>, Reverse<u64>, &'a Name) {
+    fn key(&self, subject: &str, is_even: bool) -> (Reverse<u64>, Reverse<u64>, &'a Name) {
         let hash = weight(subject, self.name);
         // Scores are above zero, where the order of their bits is theirs.
         let score = if is_even { 0 } else { self.score(hash).to_bits() };
@@ -122,13 +122,13 @@
 /// [`weight`].
 pub fn order(subject: &str, all: &mut [Candidate<'_>]) {
     let is_even = is_even(all);
-    all.sort_by_cached_key(|it| it.rank(subject, is_even));
+    all.sort_by_cached_key(|it| it.key(subject, is_even));
 }
 
 /// The instance that wins a subject.
 pub fn best<'a>(subject: &str, all: &[Candidate<'a>]) -> Option<&'a Name> {
     let is_even = is_even(all);
-    all.iter().min_by_key(|it| it.rank(subject, is_even)).map(|it| it.name)
+    all.iter().min_by_key(|it| it.key(subject, is_even)).map(|it| it.name)
 }
 
 fn is_even(all: &[Candidate<'_>]) -> bool {
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -46,8 +46,8 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// Organisations are dealt to so many slots, each with a limiter of its own. An instance speaks to as many others each
-/// [`TERM`], whatever the fleet's size.
+/// Organisations are dealt to so many slots, each with a limiter of its own. An instance speaks to as many others in each
+/// period of its [`Pacing`], whatever the fleet's size.
 pub const SLOTS: usize = 8;
 
 /// How long a share is lent at least, in microseconds. A limiter that is lost takes its shares with it for as long.
--- a/crates/core/src/quota/reserve.rs
+++ b/crates/core/src/quota/reserve.rs
@@ -3,9 +3,12 @@
 //!
 //! A reserve only refuses: what is granted is taken from the bucket's level, which alone says how much there is.
 
-use super::{LONGEST, SECOND, Urgency};
+use {
+    super::{LONGEST, SECOND, Urgency},
+    std::collections::VecDeque,
+};
 
-/// Priorities that are told apart; further ones count as the nearest of these.
+/// Priorities that are told apart; further ones count as the next less urgent one of these, or the last.
 const KINDS: usize = 8;
 /// The part of what is granted that less urgent kinds keep together, however much more urgent ones want: one caller in ten
 /// sees that its kind still works.
@@ -98,7 +101,7 @@
     /// When it was last asked for.
     seen: u64,
     /// When callers were told to come back, in order.
-    places: Vec<u64>,
+    places: VecDeque<u64>,
     /// The last of them, also if it has passed.
     last: u64,
 }
@@ -116,7 +119,7 @@
     /// Tokens that are kept for those who were told to come back, from those who weren't: whoever comes at a place may be
     /// either.
     fn spare(&self, it: &Supply) -> f64 {
-        match self.places.first() {
+        match self.places.front() {
             Some(first) if *first > it.now => self.most_spare(it),
             _ => 0.0,
         }
@@ -124,7 +127,7 @@
 
     /// Whether one is awaited at its place.
     fn is_awaited(&self, it: &Supply) -> bool {
-        self.places.first().is_some_and(|first| *first <= it.now)
+        self.places.front().is_some_and(|first| *first <= it.now)
     }
 
     /// As many as there are of them.
@@ -177,7 +180,7 @@
             if next > it.now.saturating_add(urgency.left) || kind.places.len() == PLACES {
                 break;
             }
-            kind.places.push(next);
+            kind.places.push_back(next);
             kind.last = next;
             next += step;
         }
@@ -196,14 +199,14 @@
         let known = self.kinds.get(at).is_some_and(|it| it.priority == priority);
         if !known && self.kinds.len() < KINDS {
             let asked = Recent { since: it.now, ..Recent::default() };
-            let new = Kind { priority, asked, due: 0.0, seen: it.now, places: Vec::new(), last: 0 };
+            let new = Kind { priority, asked, due: 0.0, seen: it.now, places: VecDeque::new(), last: 0 };
             self.kinds.insert(at, new);
         }
         let at = self.find(priority);
         let kind = &mut self.kinds[at];
         kind.asked.add(count, it);
         kind.seen = it.now;
-        kind.places.retain(|place| place + LATENESS > it.now);
+        while kind.places.pop_front_if(|place| *place + LATENESS <= it.now).is_some() {}
         at
     }
 
