--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -19,8 +19,8 @@
 //!
 //! What must hold, in any window: tokens granted by all limiters together stay within the rate times the window, the
 //! burst, [`Limits::margin`], and the tokens that come in within [`HOLD`]. Each start of a limiter's process in the
-//! window adds the margin once more, and each start of a lender's the tokens of its share within a term, if that was
-//! with another than the usual limiter.
+//! window adds the margin once more, and each start of a lender's the tokens of its share within a term of its earlier
+//! process, which may have been longer than the new one's, if that was with another than the usual limiter.
 //!
 //! The term is [`TERM`], and longer in a large fleet. The lender names it in each message and counts it from the time it
 //! sends that, the limiter from the earlier moment that it told: the limiter's is over first, whatever the term. A
@@ -36,8 +36,8 @@
 pub use self::{
     grant::{Grant, LONGEST, Places},
     lender::Lender,
-    limiter::{Limiter, Offer},
-    pacing::{ANSWERS, PATIENCE, PERIOD, Pacing},
+    limiter::{Limiter, Offer, Reply},
+    pacing::{ANSWERS, LONGEST_TERM, PATIENCE, PERIOD, Pacing},
     urgency::{Demand, Urgency},
 };
 
@@ -46,8 +46,8 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// Organisations are dealt to so many slots, each with a limiter of its own. An instance speaks to as many others each
-/// [`TERM`], whatever the fleet's size.
+/// Organisations are dealt to so many slots, each with a limiter of its own. An instance speaks to as many others in each
+/// period of its [`Pacing`], whatever the fleet's size.
 pub const SLOTS: usize = 8;
 
 /// How long a share is lent at least, in microseconds. A limiter that is lost takes its shares with it for as long.
--- a/crates/core/tests/lending.rs
+++ b/crates/core/tests/lending.rs
@@ -4,7 +4,10 @@
 use {
     pondtrack_core::{
         place,
-        quota::{ANSWERS, Demand, Lender, Limiter, Limits, Offer, Pacing, SLOTS, Slots, Stamp, TERM, slot},
+        quota::{
+            ANSWERS, Demand, LONGEST_TERM, Lender, Limiter, Limits, Offer, PERIOD, Pacing, SLOTS, Slots,
+            Stamp, TERM, slot,
+        },
     },
     pondtrack_proto::Name,
     rand::{Rng, RngExt, SeedableRng},
@@ -251,8 +254,8 @@
         let now = self.clock(at);
         let (seq, offer) = self.offer(at, at);
         let it = &mut self.members[at];
-        let used = it.limiter.offered(&it.name, seq, offer, now);
-        it.lender.returned(&it.name, used);
+        let answer = it.limiter.offered(&it.name, seq, offer, now);
+        it.lender.answered(&it.name, answer);
         it.stamps.insert(at, it.limiter.stamp(now));
     }
 
@@ -292,7 +295,7 @@
         let (to, seq, offer) = (it.to, it.seq, it.offer);
         let (now, name) = (self.clock(to), self.members[it.from].name.clone());
         let limiter = &mut self.members[to].limiter;
-        let used = limiter.offered(&name, seq, offer, now);
+        let used = limiter.offered(&name, seq, offer, now).used;
         let bits = (0..SLOTS).filter(|it| used.contains(*it)).fold(0, |all, it| all | 1 << it);
         let way = self.rng.random_range(1..WAY);
         self.put(self.now + way, Event::Told { id, slots: bits, stamp: now, process });
@@ -522,11 +525,11 @@
             if fault == Fault::CountsFromArrival {
                 offer.since = Some(stamp);
             }
-            let used = limiters[to].offered(&Name::from("lender"), seq, offer, now);
+            let answer = limiters[to].offered(&Name::from("lender"), seq, offer, now);
             if asked[to].0 == seq {
                 asked[to].1 = now;
                 stamps[to] = Some(stamp);
-                lender.returned(&names[to], used);
+                lender.answered(&names[to], answer);
             }
         }
         let organisation = organisation(0);
@@ -553,3 +556,91 @@
 fn a_wrong_term_is_found(#[case] fault: Fault) {
     assert!((0..40).any(|seed| terms(seed, fault)), "{fault:?}");
 }
+
+/// Whatever others tell of the fleet's size, an instance speaks to its limiters again soon.
+#[test]
+fn a_fleet_that_is_told_too_large_is_soon_forgotten() {
+    let limiters = [Name::from("a"), Name::from("b")];
+    let mut it = Pacing::default();
+    it.set_fleet(0, u32::MAX as usize);
+    assert!(it.period() <= 4 * SECOND && it.term() <= LONGEST_TERM);
+    assert_eq!(it.due(&limiters, SECOND), limiters);
+    limiters.iter().for_each(|name| it.ended(name));
+    it.set_fleet(0, 9);
+    assert!(it.due(&limiters, SECOND).is_empty());
+    assert!(it.next(SECOND).is_some_and(|next| next <= PERIOD), "{:?}", it.next(SECOND));
+}
+
+/// A pause before one that is lost is asked again stays as long as it has to be.
+#[test]
+fn one_that_is_lost_is_not_asked_sooner() {
+    let limiter = Name::from("a");
+    let audience = std::slice::from_ref(&limiter);
+    let mut it = Pacing::default();
+    it.set_fleet(0, 9);
+    let now = 10 * SECOND;
+    assert_eq!(it.due(audience, now), audience);
+    (0..9).for_each(|_| it.missed(&limiter, 500_000, now));
+    it.ended(&limiter);
+    assert!(it.due(audience, now + 900_000).is_empty());
+    assert_eq!(it.due(audience, now + SECOND), audience);
+}
+
+#[test]
+fn no_loan_lasts_longer_than_in_the_largest_fleet() {
+    let lender = Name::from("lender");
+    let mut it = Limiter::new(1);
+    let mut slots = Slots::default();
+    slots.insert(0);
+    let offer = Offer { slots, share: 1.0, since: Some(it.stamp(SECOND)), term: u64::MAX };
+    it.offered(&lender, 1, offer, SECOND);
+    let organisation = organisation(0);
+    let mut share = |now: u64| {
+        it.claim(&organisation, LIMITS, Demand::plain(1), now);
+        it.share(&organisation)
+    };
+    assert_eq!(share(SECOND + LONGEST_TERM - 1), 1.0);
+    assert_eq!(share(SECOND + LONGEST_TERM), 0.0);
+    // The lender counts as long.
+    let mut lender = Lender::new(0);
+    assert_eq!(lender.set_term(u64::MAX), LONGEST_TERM);
+    assert!(lender.lend(0, &Name::from("a"), true, SECOND));
+    assert!(!lender.lend(0, &Name::from("b"), true, SECOND + LONGEST_TERM - 1));
+    assert!(lender.lend(0, &Name::from("b"), true, SECOND + LONGEST_TERM));
+}
+
+/// The numbers of a lender's messages begin anew with its process. The limiter ignores those of the new one until the
+/// earlier one's time is over, and one that was late counts then.
+#[test]
+fn an_answer_to_an_ignored_offer_gives_nothing_back() {
+    let (name, names) = (Name::from("lender"), [Name::from("a"), Name::from("b")]);
+    let mut limiters = [Limiter::new(1), Limiter::new(2)];
+    let mut slots = Slots::default();
+    slots.insert(0);
+    let now = 10 * SECOND;
+    let offer =
+        |it: &Limiter, slots, now| Offer { slots, share: 1.0, since: Some(it.stamp(now)), term: TERM };
+    // The earlier process says good-bye.
+    let last = offer(&limiters[0], Slots::default(), now);
+    assert!(!limiters[0].offered(&name, 1_000, last, now).is_ignored);
+    // Two messages of the new one lend; the first is late.
+    let mut lender = Lender::new(now);
+    assert!(lender.lend(0, &names[0], true, now));
+    let now = now + TERM - 100_000;
+    let late = offer(&limiters[0], slots, now);
+    assert!(lender.lend(0, &names[0], true, now));
+    let ignored = limiters[0].offered(&name, 2, late, now);
+    assert!(ignored.is_ignored && ignored.used.is_empty());
+    assert!(lender.answered(&names[0], ignored).is_empty());
+    // Another is its limiter now: it isn't lent to while the late one may count.
+    let lent = lender.lend(0, &names[1], false, now + 1);
+    let now = now + 200_000;
+    assert!(!limiters[0].offered(&name, 1, late, now).is_ignored);
+    if lent {
+        let other = offer(&limiters[1], slots, now);
+        limiters[1].offered(&name, 3, other, now);
+    }
+    let fills = limiters.iter().filter(|it| it.share(&organisation(0)) > 0.0).count();
+    assert_eq!((lent, fills), (false, 1));
+    assert!(lender.lend(0, &names[1], false, now + TERM));
+}
