Questions of other instances can be cancelled from the moment they come

Cause: `Asked` was noted inside the spawned `attend`, so a `Cancel` or `Drop` that came in the same read as its `Ask` was lost: the place at a turnstile was kept, and a transaction that was begun for nobody stayed pinned until the link closed. At the end of a link the questions that waited kept their places. A `Told::Turn` that had come for a dropped question was dropped without `EndTurn`.

Change: the question is noted in `take_in`; one that was cancelled before its first poll is refused without being started (the cancel is polled first: it is ready only while no server has anything). At the end of a link all questions are given up. A question for a turn is forgotten at the grant, not after TURN_MOST. A dropped question gives back the turn that came for it.

Red before the change: a_cancel_that_comes_with_its_question_is_heeded, a_transaction_that_is_given_up_with_its_question_doesnt_begin, questions_of_a_link_that_ends_give_their_places_back, a_turn_that_came_for_one_that_has_left_goes_back. Red with the noting in `take_in` taken out: a_transaction_that_is_dropped_with_its_question_is_rolled_back. The forgetting at the grant has no test.

--- a/crates/engine/src/link.rs
+++ b/crates/engine/src/link.rs
@@ -250,8 +250,14 @@
 
 impl Drop for Question<'_> {
     fn drop(&mut self) {
-        if self.waits {
-            self.link.cancel(self.id);
+        if !self.waits {
+            return;
+        }
+        match self.got.as_mut().map(oneshot::Receiver::try_recv) {
+            // It came, and whoever asked has left.
+            Some(Ok(Told::Turn { turn, .. })) => self.link.tell(Message::EndTurn { turn }),
+            Some(Ok(_)) => {}
+            Some(Err(_)) | None => self.link.cancel(self.id),
         }
     }
 }
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -81,6 +81,7 @@
     // Transactions of a link that is gone are rolled back as their connections close.
     it.streams.borrow_mut().clear();
     it.turns.borrow_mut().clear();
+    it.give_up();
 }
 
 impl Served {
@@ -102,7 +103,10 @@
     /// Takes a message in; says whether the link goes on.
     fn take_in(self: &Rc<Self>, message: Message) -> bool {
         match message {
-            Message::Ask { id, ask } => drop(tokio::task::spawn_local(self.clone().attend(id, ask))),
+            Message::Ask { id, ask } => {
+                let progress = self.expect(id, &ask);
+                tokio::task::spawn_local(self.clone().attend(id, ask, progress));
+            }
             Message::Crowded { server } => {
                 if let Some((_, up)) = find(&self.inst, &server) {
                     up.crowd(self.inst.now());
@@ -120,25 +124,35 @@
         true
     }
 
-    /// Answers a question, unless it is cancelled before a server has anything of it.
-    async fn attend(self: Rc<Self>, id: u64, ask: Ask) {
-        if !ask.waits() {
-            return self.answer(id, ask, &Progress::default()).await;
-        }
-        let stream = match &ask {
+    /// Notes a question that may be cancelled from now on, be it with the next message.
+    fn expect(&self, id: u64, ask: &Ask) -> Rc<Progress> {
+        let progress = Rc::new(Progress::default());
+        let stream = match ask {
             Ask::Run(it) => Some(it.stream),
             _ => None,
         };
-        let progress = Rc::new(Progress::default());
-        self.asked.borrow_mut().push(Asked { id, stream, progress: progress.clone() });
+        if ask.waits() {
+            self.asked.borrow_mut().push(Asked { id, stream, progress: progress.clone() });
+        }
+        progress
+    }
+
+    /// Answers a question, unless it is cancelled before a server has anything of it.
+    async fn attend(self: Rc<Self>, id: u64, ask: Ask, progress: Rc<Progress>) {
         tokio::select! {
             biased;
-            () = self.answer(id, ask, &progress) => {}
+            // First, as one that was cancelled at once needn't begin.
             () = progress.given_up() => {
                 self.inst.counters.one(Count::Cancelled);
                 self.tell(id, Told::Refused);
             }
+            () = self.answer(id, ask, &progress) => {}
         }
+        self.forget(id);
+    }
+
+    /// A question was answered.
+    fn forget(&self, id: u64) {
         self.asked.borrow_mut().retain(|it| it.id != id);
     }
 
@@ -157,6 +171,14 @@
         }
     }
 
+    /// The link has ended: nobody waits for its answers, or wants its transactions.
+    fn give_up(&self) {
+        for it in &*self.asked.borrow() {
+            it.progress.drop_stream();
+            it.progress.leave();
+        }
+    }
+
     async fn answer(&self, id: u64, ask: Ask, progress: &Progress) {
         let inst = &self.inst;
         let told = match ask {
@@ -191,6 +213,7 @@
         match up.shared.enter(rank, Some(it.slow), until).await {
             Turn::Granted(permit) => {
                 progress.send();
+                self.forget(id);
                 // A link that has closed meanwhile needs no turn.
                 if self.tell(id, Told::Turn { turn: id, crowded: up.shared.is_crowded() }) {
                     self.turns.borrow_mut().push((id, permit));
