A waiter for a connection that is dropped gives its place back

Cause: `Pool::wait` had no guard. A waiter whose future was dropped stayed in the list, and who gets a connection was judged by it: a good connection of the next one's organisation was closed to make room for nobody.

Change: a guard removes closed waiters; a connection that came for them is given back, and leave to open passes to the next.

Red before the change: one_that_left_doesnt_decide_who_gets_a_connection (5 connections opened instead of 4).

--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -233,17 +233,24 @@
     /// Waits for a turn: a connection, or leave to try and open one.
     async fn wait(&self, want: &Want) -> Result<Option<Lease>, Denied> {
         let (turn, got) = oneshot::channel();
+        let mut place = Place { pool: self, got };
         {
             let mut waiting = self.waiting.borrow_mut();
             let at = waiting.partition_point(|it| it.priority <= want.priority);
             let (priority, owner) = (want.priority, want.owner.clone());
             waiting.insert(at, Waiter { priority, owner, passed: 0, turn });
         }
-        match timeout_at(want.until, got).await {
+        match timeout_at(want.until, &mut place.got).await {
             Ok(Ok(it)) => Ok(it),
-            Ok(Err(_)) | Err(_) => {
-                self.waiting.borrow_mut().retain(|it| !it.turn.is_closed());
-                Err(Denied::Busy)
+            Ok(Err(_)) | Err(_) => Err(Denied::Busy),
+        }
+    }
+
+    /// Lets the next one try to open a connection.
+    fn pass_on(&self) {
+        while let Some(it) = self.next_waiter() {
+            if it.turn.send(None).is_ok() {
+                return;
             }
         }
     }
@@ -275,6 +282,26 @@
     }
 }
 
+/// A place among those that wait. It is given back by those that have stopped waiting, also where they are dropped; what
+/// came for them goes to the next.
+struct Place<'a> {
+    pool: &'a Pool,
+    got: oneshot::Receiver<Option<Lease>>,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.got.close();
+        self.pool.waiting.borrow_mut().retain(|it| !it.turn.is_closed());
+        match self.got.try_recv() {
+            Ok(Some(it)) => it.give_back(),
+            Ok(None) => self.pool.pass_on(),
+            // Nothing came, or it was taken.
+            Err(_) => {}
+        }
+    }
+}
+
 /// A connection on loan. Dropped, it is closed.
 pub struct Lease {
     pool: Rc<Pool>,
@@ -348,10 +375,6 @@
             return;
         }
         self.pool.open.set(self.pool.open.get().saturating_sub(1));
-        while let Some(it) = self.pool.next_waiter() {
-            if it.turn.send(None).is_ok() {
-                break;
-            }
-        }
+        self.pool.pass_on();
     }
 }
