A rollback in place of a commit is answered also where the caller only reads

Cause: the commit of a failed transaction, and the end of one whose caller may not go on, gave ROLLBACK without `progress.send()`: with quotas a caller that half-closed got no answer while ROLLBACK was at the server.

Change: `Session::roll_back` says so for all three.

The way over `bound` has no test: a key that may not go on loses the transaction before.

--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -401,10 +401,7 @@
             (Verb::Begin(_), true) => {
                 Answer::error(Code::Malformed, "a transaction is open already", self.txn.state())
             }
-            (Verb::Rollback, true) => {
-                self.progress.send();
-                self.txn.rollback().await
-            }
+            (Verb::Rollback, true) => self.roll_back().await,
             (Verb::Rollback, false) => {
                 self.txn = Txn::None;
                 Answer::done(TxnState::Idle)
@@ -412,7 +409,7 @@
             (_, true) => match self.work(it, None, arrived) {
                 Ok(work) => work.commit(self).await,
                 Err(answer) => {
-                    self.txn.abandon().await;
+                    self.roll_back().await;
                     answer
                 }
             },
@@ -421,6 +418,12 @@
         }
     }
 
+    /// Rolls its transaction back for the caller. One that only reads yet is answered, as the server may have the order.
+    pub async fn roll_back(&mut self) -> Answer {
+        self.progress.send();
+        self.txn.rollback().await
+    }
+
     /// A statement on its way, or what its caller is told instead.
     fn work<'a>(
         &self,
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -252,7 +252,7 @@
         };
         if txn.state == TxnState::Failed {
             session.txn = Txn::Open(txn);
-            session.txn.rollback().await;
+            session.roll_back().await;
             return Answer::error(Code::Aborted, "the transaction had failed", TxnState::Idle);
         }
         let OpenTxn { group, up, mut channel, wrote, .. } = *txn;
