--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -37,7 +37,8 @@
 const KEEPALIVE_AGAIN: (Duration, u32) = (Duration::from_secs(5), 3);
 /// The first size of a session's buffer, in bytes: most statements are smaller.
 const BUFFER: usize = 512;
-/// Bytes of further statements that are taken while one is being answered; a caller that sends more is looked after then.
+/// Bytes of further statements that are taken while one is being answered: those of a caller that doesn't wait for answers
+/// fit, and one that sends without reading has no more kept for it. Whether it leaves isn't noticed beyond.
 const READ_AHEAD: usize = 16 << 10;
 
 /// A named statement of a session.
