What waited in vain is counted where its caller is told so

Cause: a refused hedge, and the refusal of a read of which another try may have run, counted `Held*` though the caller was told something else.

Change: the refusal carries its counter, which counts where the refusal becomes the answer. No test of its own: the tests of budget (each counter once) stay green.

--- a/crates/engine/src/read.rs
+++ b/crates/engine/src/read.rs
@@ -101,7 +101,11 @@
                 }
                 match self.launch(session, &group, &mut tries.tried).await {
                     Ok(it) => flights.push(it),
-                    Err(Miss::Late(why)) => return tries.outcome(why),
+                    Err(Miss::Late(why, held)) => {
+                        // Where a try ran and failed, or may have run, its caller is told that.
+                        self.count_held(held.filter(|_| tries.failed.is_none() && !tries.lost));
+                        return tries.outcome(why);
+                    }
                     Err(Miss::Again) => {
                         self.pause(&mut backoff).await;
                         continue;
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -140,18 +140,8 @@
 pub enum Miss {
     /// It couldn't be sent to this one.
     Again,
-    /// There is no time left.
-    Late(&'static str),
-}
-
-impl Miss {
-    /// The refusal, if there is no use in another try.
-    pub fn refusal(self) -> Option<Answer> {
-        match self {
-            Miss::Again => None,
-            Miss::Late(why) => Some(busy(why, TxnState::Idle)),
-        }
-    }
+    /// There is no time left; what counts it where its caller is told so.
+    Late(&'static str, Option<Count>),
 }
 
 /// The refusal of a statement that did not run.
@@ -222,7 +212,7 @@
         };
         match Direct::reach(&self.inst, up, Some(self.rank_at(up)), self.slow(), want).await {
             Ok(it) => Ok(Channel::Direct(it)),
-            Err(NoWay::Refused) => Err(Miss::Late(NO_TIME)),
+            Err(NoWay::Refused) => Err(Miss::Late(NO_TIME, None)),
             Err(NoWay::Late(wait)) if self.is_held() => Err(self.late(wait)),
             Err(NoWay::Late(_)) => Err(Miss::Again),
             Err(NoWay::Full) => self.relay(up, until).await,
@@ -265,8 +255,25 @@
             Wait::Turn => (Count::HeldTurn, "too much to do"),
             Wait::Connection => (Count::HeldConnection, "no connection is free"),
         };
-        self.inst.counters.one(count);
-        Miss::Late(why)
+        Miss::Late(why, Some(count))
+    }
+
+    /// The refusal, if there is no use in another try.
+    pub fn refusal(&self, it: Miss) -> Option<Answer> {
+        match it {
+            Miss::Again => None,
+            Miss::Late(why, held) => {
+                self.count_held(held);
+                Some(busy(why, TxnState::Idle))
+            }
+        }
+    }
+
+    /// Its caller is told that it has waited in vain.
+    pub fn count_held(&self, held: Option<Count>) {
+        if let Some(it) = held {
+            self.inst.counters.one(it);
+        }
     }
 
     /// Whether it has waited for as long as that.
--- a/crates/engine/src/txn.rs
+++ b/crates/engine/src/txn.rs
@@ -10,7 +10,7 @@
         organisation::Owner,
         session::{Session, text},
         settings::{ORDER_LIMIT, RETRY_PAUSE, TRIES},
-        statement::{Miss, NO_TIME, UNCONFIRMED, Work, busy, unknown},
+        statement::{NO_TIME, UNCONFIRMED, Work, busy, unknown},
         upstream::Upstream,
     },
     pondtrack_core::retry::Backoff,
@@ -155,19 +155,19 @@
         access: Access,
         tried: &mut Vec<usize>,
     ) -> Result<OpenTxn, Option<Answer>> {
-        let need = self.need(session, group).await.map_err(Miss::refusal)?;
+        let need = self.need(session, group).await.map_err(|it| self.refusal(it))?;
         let chosen = match (access, need.mark) {
             (Access::Read, Some(_)) => group.choose(&self.inst, need.since, tried),
             _ => None,
         };
         let up = match chosen {
             Some(it) => it,
-            None => self.primary(group).await.map_err(Miss::refusal)?,
+            None => self.primary(group).await.map_err(|it| self.refusal(it))?,
         };
         // It may have become known, or taken another's place, only after the statement had come.
         let term = group.term();
         tried.push(up.index);
-        let mut channel = self.reach(session, &up, self.end).await.map_err(Miss::refusal)?;
+        let mut channel = self.reach(session, &up, self.end).await.map_err(|it| self.refusal(it))?;
         let parcel = self.parcel(session, need.mark);
         let sent = self.inst.now();
         let answer = match parcel.run(&self.inst, &up, &mut channel).await {
--- a/crates/engine/src/write.rs
+++ b/crates/engine/src/write.rs
@@ -28,7 +28,10 @@
             }
             let (up, mut channel) = match self.reach_primary(session, &group).await {
                 Ok(it) => it,
-                Err(Miss::Late(why)) => return busy(why, TxnState::Idle),
+                Err(Miss::Late(why, held)) => {
+                    self.count_held(held);
+                    return busy(why, TxnState::Idle);
+                }
                 Err(Miss::Again) => {
                     self.pause(&mut backoff).await;
                     continue;
