A turn of a statement that never ran teaches its turnstile nothing

Cause: a permit taught the limit from how long it was held, also where its statement found no connection or its caller left.

Change: `Direct::run` says when the statement goes to the server; only then is there something to learn. Of a turn that another instance has, it isn't known whether its statement ran: that teaches as before.

--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -346,7 +346,7 @@
 
     async fn run(&mut self, inst: &Rc<Instance>, it: Sending<'_>) -> Result<Answer, RunError> {
         self.sent = false;
-        let permit = match (self.permit.take(), it.rank) {
+        let mut permit = match (self.permit.take(), it.rank) {
             (Some(it), _) => Some(it),
             (None, Some(rank)) => match turn(inst, &self.up, rank, it.slow, it.end).await {
                 Turn::Granted(it) => Some(it),
@@ -355,6 +355,9 @@
             },
             (None, None) => None,
         };
+        if let Some(it) = &mut permit {
+            it.run();
+        }
         let (sent, pool) = (Instant::now(), self.lease.pool());
         let work = run_on(inst, &mut self.lease, it, &mut self.sent);
         tokio::pin!(work);
--- a/crates/engine/src/relay.rs
+++ b/crates/engine/src/relay.rs
@@ -211,7 +211,9 @@
         let rank = Rank { aim: it.rank.aim + inst.now(), ..it.rank };
         let until = Instant::now() + Duration::from_millis(it.wait_ms.into());
         match up.shared.enter(rank, Some(it.slow), until).await {
-            Turn::Granted(permit) => {
+            Turn::Granted(mut permit) => {
+                // Whether its statement runs isn't known here.
+                permit.run();
                 progress.send();
                 self.forget(id);
                 // A link that has closed meanwhile needs no turn.
--- a/crates/engine/src/turnstile.rs
+++ b/crates/engine/src/turnstile.rs
@@ -79,7 +79,7 @@
         self.pass(self.clock.now());
     }
 
-    /// Waits for a turn. If it says when it is slow, the turnstile learns from how long it is held.
+    /// Waits for a turn. If it says when it is slow, the turnstile learns from how long it is held, if its statement ran.
     pub async fn enter(self: &Rc<Self>, rank: Rank, slow: Option<Micros>, until: Instant) -> Turn {
         let now = self.clock.now();
         if self.turns.borrow().refuses(rank, now) {
@@ -116,7 +116,7 @@
     }
 
     fn permit(self: &Rc<Self>, slow: Option<Micros>) -> Permit {
-        let mut it = Permit(Held::Here { of: self.clone(), watch: None });
+        let mut it = Permit(Held::Here { of: self.clone(), watch: None, ran: false });
         it.watch(slow, self.clock.now());
         it
     }
@@ -150,6 +150,8 @@
         of: Rc<Turnstile>,
         /// Since when it is held, and after how long that is slow.
         watch: Option<(Micros, Micros)>,
+        /// Whether its statement went to the server, as far as is known.
+        ran: bool,
     },
     /// Another instance's.
     There { link: Rc<Link>, turn: u64 },
@@ -161,6 +163,13 @@
         Permit(Held::There { link, turn })
     }
 
+    /// Its statement goes to the server.
+    pub fn run(&mut self) {
+        if let Held::Here { ran, .. } = &mut self.0 {
+            *ran = true;
+        }
+    }
+
     fn watch(&mut self, slow: Option<Micros>, now: Micros) {
         if let Held::Here { watch, .. } = &mut self.0 {
             *watch = slow.map(|it| (now, it));
@@ -171,12 +180,12 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         match &self.0 {
-            Held::Here { of, watch } => {
+            Held::Here { of, watch, ran } => {
                 let now = of.clock.now();
                 let mut turns = of.turns.borrow_mut();
                 turns.end();
-                if let Some((since, slow)) = watch {
-                    turns.learn(now - since <= *slow);
+                if let Some((since, slow)) = watch.filter(|_| *ran) {
+                    turns.learn(now - since <= slow);
                 }
                 drop(turns);
                 of.pass(now);
