Refusals: sorted, and only the one that is asked for is looked at

Each admission went over all refused organisations and their places. Operations that aren't told apart have one entry as well, with the newest refusal; they had one for each refusal before.

--- a/crates/core/src/retry_after.rs
+++ b/crates/core/src/retry_after.rs
@@ -59,6 +59,12 @@
 }
 
 impl Refusal {
+    /// Whether it holds no longer, and nobody is awaited.
+    fn is_over(&mut self, now: u64) -> bool {
+        self.places.retain(|place| place + LATENESS > now);
+        self.until <= now && self.places.is_empty()
+    }
+
     /// Tells a caller its place, and remembers it if it is of use.
     fn tell(&mut self, place: u64, left: u64, now: u64) -> RetryAfter {
         // Callers are told milliseconds: one that comes a part of one too early finds nothing.
@@ -77,6 +83,7 @@
 /// What an instance knows of refusals, so that it can answer by itself: callers who don't listen cost others nothing.
 #[derive(Clone, Debug, Default)]
 pub struct Refusals {
+    /// Sorted by organisation and priority.
     list: Vec<Refusal>,
 }
 
@@ -84,12 +91,12 @@
     /// What a caller is told without a question to the limiter; none if that has to be asked. A caller who comes when a
     /// place is due may be the one who was told so, and is asked for.
     pub fn known(&mut self, organisation: &Name, urgency: Option<Urgency>, now: u64) -> Option<RetryAfter> {
-        for it in &mut self.list {
-            it.places.retain(|place| place + LATENESS > now);
-        }
-        self.list.retain(|it| it.until > now || !it.places.is_empty());
-        let at = self.find(organisation, urgency)?;
+        let at = self.find(organisation, urgency).ok()?;
         let it = &mut self.list[at];
+        if it.is_over(now) {
+            self.list.remove(at);
+            return None;
+        }
         if let Some(due) = it.places.iter().position(|place| *place <= now) {
             it.places.remove(due);
             return None;
@@ -113,18 +120,18 @@
     ) -> RetryAfter {
         let priority = urgency.map(|it| it.priority);
         let until = now + places.after.clamp(LEAST, MOST);
-        let known = urgency.and_then(|_| self.find(organisation, urgency));
-        let at = known.unwrap_or_else(|| {
+        let at = self.find(organisation, urgency).unwrap_or_else(|at| {
             let organisation = organisation.clone();
-            self.list.push(Refusal { organisation, priority, until, last: 0, step: 0, places: Vec::new() });
-            self.list.len() - 1
+            let new = Refusal { organisation, priority, until, last: 0, step: 0, places: Vec::new() };
+            self.list.insert(at, new);
+            at
         });
         let it = &mut self.list[at];
+        it.until = until;
         it.step = places.step.min(LONGEST);
         match urgency {
             None => RetryAfter::Room { after: places.after },
             Some(urgency) => {
-                it.until = until;
                 let place = now + places.skip(0).after;
                 let told = it.tell(place, urgency.left, now);
                 // A place that its caller can't wait for is the next one's, who is told none before it.
@@ -134,8 +141,13 @@
         }
     }
 
-    fn find(&self, organisation: &Name, urgency: Option<Urgency>) -> Option<usize> {
-        let priority = urgency.map(|it| it.priority);
-        self.list.iter().position(|it| it.organisation == *organisation && it.priority == priority)
+    /// Forgets refusals that are over.
+    pub fn trim(&mut self, now: u64) {
+        self.list.retain_mut(|it| !it.is_over(now));
+    }
+
+    fn find(&self, organisation: &Name, urgency: Option<Urgency>) -> Result<usize, usize> {
+        let key = (organisation, urgency.map(|it| it.priority));
+        self.list.binary_search_by(|it| (&it.organisation, it.priority).cmp(&key))
     }
 }
--- a/crates/engine/src/limit/lending.rs
+++ b/crates/engine/src/limit/lending.rs
@@ -192,6 +192,7 @@
         }
         inst.limit.place(&inst);
         inst.limit.limiter.borrow_mut().trim(inst.now());
+        inst.limit.refusals.borrow_mut().trim(inst.now());
         lend_here(&inst);
         for name in inst.limit.audience(&inst) {
             tokio::task::spawn_local(lend(inst.clone(), name));
