--- a/crates/core/src/turn/fair.rs
+++ b/crates/core/src/turn/fair.rs
@@ -12,6 +12,9 @@
 /// goes before others' ordinary ones, and a storm gets no further ahead than by a few statements.
 const LEAD: f64 = 20_000.0;
 
+/// Owners without a statement that waits that are remembered: more than have turns at one server within a lead.
+const IDLE_MOST: usize = 256;
+
 /// One owner.
 #[derive(Clone, Debug)]
 struct Flow {
@@ -124,6 +127,7 @@
                 self.now = self.now.max(least);
                 let now = self.now;
                 self.flows.retain(|it| it.waiting > 0 || it.whole() > now);
+                self.forget_idle();
             }
             // Where nobody waits, nobody goes without.
             None => *self = Owners::default(),
@@ -131,6 +135,20 @@
     }
 }
 
+impl Owners {
+    /// Keeps those that are furthest ahead of the idle owners.
+    fn forget_idle(&mut self) {
+        let idle = |it: &&Flow| it.waiting == 0;
+        if self.flows.iter().filter(idle).count() <= IDLE_MOST {
+            return;
+        }
+        let mut times: Vec<f64> = self.flows.iter().filter(idle).map(Flow::whole).collect();
+        times.sort_by(|a, b| b.total_cmp(a));
+        let least = times[IDLE_MOST / 2];
+        self.flows.retain(|it| it.waiting > 0 || it.whole() > least);
+    }
+}
+
 fn weight(share: Share) -> f64 {
     f64::from(share.weight.max(1))
 }
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -177,8 +177,9 @@
     loop {
         // An earlier process of the same name has most probably left an entry, which a look shows.
         let unread = look == 0 && !inst.settings.first_start;
+        let has_others = inst.peers().is_some_and(|it| !it.is_empty());
         if !unread {
-            entry.keep(&inst).await;
+            entry.keep(&inst, has_others).await;
         }
         if inst.era() > era.0 {
             era = (inst.era(), inst.now());
@@ -199,7 +200,7 @@
             }
         }
         if unread {
-            entry.keep(&inst).await;
+            entry.keep(&inst, has_others).await;
         }
         let pause = if look < FIRST_LOOKS { FIRST_LOOK } else { LOOK };
         sleep(pause + Duration::from_millis(inst.random(500))).await;
@@ -242,8 +243,9 @@
         known && (written || self.due.is_some_and(|it| Instant::now() < it))
     }
 
-    /// Writes the entry if a heartbeat is due.
-    async fn keep(&mut self, inst: &Instance) {
+    /// Writes the entry if a heartbeat is due. `has_others` says that this instance knew others before it could tell them
+    /// of itself.
+    async fn keep(&mut self, inst: &Instance, has_others: bool) {
         if self.is_fresh(inst) {
             return;
         }
@@ -262,7 +264,7 @@
             let put = store.put(Collection::Instances, name, Record::Instance(record), self.revision);
             match put.await {
                 Ok(it) => {
-                    if is_new && inst.peers().is_some_and(|it| !it.is_empty()) {
+                    if is_new && has_others {
                         inst.limit.set_new();
                     }
                     self.revision = Some(it);
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -72,7 +72,7 @@
 pub const PATIENCE: Duration = Duration::from_millis(120);
 /// A statement without an answer for this long, and for this many times the server's usual time, may wait on a
 /// connection that fell silent: it no longer keeps others from their turns, and connections that were idle
-/// when it was sent are closed. The users' longest statements take 300 ms.
+/// when it was sent are closed. Ordinary statements are over long before.
 pub const OVERDUE: Duration = Duration::from_millis(500);
 /// See [`OVERDUE`].
 pub const OVERDUE_FACTOR: u32 = 10;
@@ -104,7 +104,7 @@
 /// The share of the objective after which a read without an answer is also sent to another server.
 pub const HEDGE_SHARE: f64 = 0.5;
 /// A statement that takes longer at a server than this share of its route's objective is slow: the server
-/// has a queue. Work alone is a tenth of the objectives that the users name.
+/// has a queue. Work alone takes about a tenth of an objective.
 pub const SLOW_SHARE: f64 = 0.25;
 /// What a transaction counts among those that wait to begin, in statements: callers' have up to twelve.
 pub const TXN_STATEMENTS: u64 = 4;
@@ -117,8 +117,8 @@
 /// A leaving server gets new work, where no other can do it, until this long before its time is over: the
 /// store's word may have reached this instance late, and statements take a while.
 pub const DRAIN_LATE: Duration = Duration::from_millis(2_500);
-/// A server whose entry has been missing for this long is taken as gone. The users' pages name about two
-/// seconds after an outage of the store.
+/// A server whose entry has been missing for this long is taken as gone. After an outage of the store, servers that
+/// live are listed again within two seconds.
 pub const GONE_AFTER: Duration = Duration::from_millis(2_500);
 /// How long a change of primary takes at most from its first order to stop a replica to its end: 400 ms for that order, 500 ms
 /// for the record of who led, and three orders to promote with 500 ms for the answer and 1,500 ms until the server leads.
