Sightings: one rule says whether an account was overtaken

Told accounts and own answers each compared positions by themselves. No behaviour changes: what was told is news if it was asked for later than what is known and was not overtaken, which are the same conditions as before.

--- a/crates/core/src/turn/fair.rs
+++ b/crates/core/src/turn/fair.rs
@@ -97,8 +97,8 @@
         self.leave(share);
     }
 
-    /// A figure that rises with the time of an owner that has had more than its share in work as urgent as this, once so much more of it is done; 0
-    /// of others. The lowest goes first.
+    /// A figure that rises with the time of an owner that has had more than its share in work as urgent as this, once so
+    /// much more of it is done; 0 of others. The lowest goes first.
     pub(super) fn ahead(&self, share: Share, priority: u8, work: f64) -> u64 {
         let known = self.find(share.owner).map_or(0.0, |at| self.flows[at].time(priority));
         let time = known.max(self.now) + work / weight(share);
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -178,17 +178,15 @@
     /// Whether an account that was asked for at `sent` or later, and went through other instances, adds to what is known. One
     /// that shows less than was known may have been asked for before that, unless it is certain to be later.
     pub(crate) fn is_news(&self, status: Status, sent: Micros) -> bool {
-        let Some((known, old)) = self.status.get() else { return sent >= self.returned.get() };
-        let shown = (status.term, status.received.lsn);
-        let less = shown < (old.term, old.received.lsn);
-        sent > known && sent >= self.returned.get() && (!less || sent >= self.stated.get())
+        let later = self.status.get().is_none_or(|it| sent > it.0);
+        later && !self.is_overtaken(status, sent)
     }
 
     /// Whether an answer to a question sent at `sent` shows less than what came meanwhile: it may be from before that, or show
     /// a loss.
     pub(crate) fn is_overtaken(&self, status: Status, sent: Micros) -> bool {
-        let Some((_, old)) = self.status.get() else { return false };
-        let less = (status.term, status.received.lsn) < (old.term, old.received.lsn);
+        let shown = |it: Status| (it.term, it.received.lsn);
+        let less = self.status.get().is_some_and(|it| shown(status) < shown(it.1));
         sent < self.returned.get() || less && sent < self.stated.get()
     }
 
