--- a/review/standin/src/partition.rs
+++ b/review/standin/src/partition.rs
@@ -73,6 +73,7 @@
     for _ in 0..3 {
         judge.write(&mut there, "2b7");
     }
+    record!("{} says that it is ready: {}", far.name, far.is_ready());
     let stale = judge.stale_reads(&group);
     judge.record_lost(&group);
     near.iter().chain([&far]).for_each(|instance| instance.copy_log());
--- a/review/standin/src/resume.rs
+++ b/review/standin/src/resume.rs
@@ -60,6 +60,7 @@
         judge.write(&mut here, "1a4");
         judge.read(&mut there, "1a4");
     }
+    record!("{} says that it is ready: {}", far.name, far.is_ready());
     let stale = judge.stale_reads(&group);
     near.iter().chain([&far]).for_each(|instance| instance.copy_log());
     Ok(stale)
