--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! | module | purpose |
 //! | --- | --- |
 //! | [`commit_gate`] | acknowledgement of commits by a majority |
+//! | [`former_primary`] | acknowledgement of commits while a former primary may still be read from |
 //! | [`promotion`] | fencing of a majority and promotion of a server |
 //! | [`term_pool`] | pre-allocated terms |
 //! | [`leader`] | the leader of a term while its primary is unreachable |
@@ -53,6 +54,7 @@
 pub mod decision_log;
 pub mod delta;
 pub mod failure_detector;
+pub mod former_primary;
 pub mod freshness;
 pub mod gossip;
 pub mod intervals;
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -6,15 +6,16 @@
 //!
 //! Evidence is the content of a server's status response, valid as of the time at which the request was sent. A replica that
 //! replicates in a term confirms that the term's primary had not been replaced at that time, because a failover first stops
-//! replication on all other replicas (see [`crate::failover`]).
+//! replication on all other replicas (see [`crate::failover`]). After the failover they are resumed, and one that doesn't reach
+//! the new primary confirms the old term; [`pondtrack_core::former_primary`] shows why its word does no harm.
 
 use {
     self::status_reports::StatusQueries,
     crate::{
         instance::{Instance, Micros, micros},
         settings::{
-            EVIDENCE_REFRESH_PERCENT, LAG_FACTOR, MAX_REPLICATION_POLL, MIN_REPLICATION_POLL, ORDER_TIMEOUT,
-            PRIMARY_POLL_INTERVAL, SERVER_EXPIRY, STATUS_HEDGE_DELAY,
+            EVIDENCE_REFRESH_PERCENT, LAG_FACTOR, MAX_REPLAY_POLL, MAX_REPLICATION_POLL, MIN_REPLAY_POLL,
+            MIN_REPLICATION_POLL, ORDER_TIMEOUT, PRIMARY_POLL_INTERVAL, SERVER_EXPIRY, STATUS_HEDGE_DELAY,
         },
         upstream::Upstream,
     },
@@ -41,6 +42,12 @@
 /// Number of replicas that have to confirm a term or to have received a commit.
 const REPLICAS: usize = 1;
 
+/// Returns the time after which reads at all of these servers are likely to reflect what the servers have received.
+fn replay_delay(servers: &[Rc<Upstream>], now: Micros) -> Duration {
+    let lag = servers.iter().map(|server| server.lag.get().get(now)).max().unwrap_or_default();
+    Duration::from_micros(lag).clamp(MIN_REPLAY_POLL, MAX_REPLAY_POLL)
+}
+
 /// A group of servers.
 pub struct Group {
     /// Name of the group.
@@ -54,6 +61,8 @@
     primary: Cell<Option<usize>>,
     /// Term and index of the last known leader. Its own status doesn't count as a replica's confirmation of its commits.
     leader: Cell<Option<(Term, usize)>>,
+    /// Term and index of the last known leader of an earlier term.
+    former_leader: Cell<Option<(Term, usize)>>,
     primary_lost_at: Cell<Option<Micros>>,
     /// Comparison of the primary's log with the logs of its replicas.
     claim: Cell<PrimaryClaim>,
@@ -76,6 +85,7 @@
             term: Cell::default(),
             primary: Cell::default(),
             leader: Cell::default(),
+            former_leader: Cell::default(),
             primary_lost_at: Cell::default(),
             claim: Cell::default(),
             evidence_resets: Cell::default(),
@@ -295,6 +305,39 @@
         }
     }
 
+    /// Waits until the commit at `position` is visible on every server that may be read from as a former primary.
+    ///
+    /// Returns false if a later term has begun, or at `deadline`.
+    pub async fn wait_visible(&self, inst: &Instance, position: LogPosition, deadline: Instant) -> bool {
+        let mut poll_at = None;
+        loop {
+            let changed = self.changed.notified();
+            let missing = self.servers_without(position);
+            match () {
+                () if self.term.get() != position.term => return false,
+                () if missing.is_empty() => return true,
+                () if Instant::now() >= deadline => return false,
+                () => {}
+            }
+            self.request_earlier_term_statuses(inst);
+            let poll_due =
+                *poll_at.get_or_insert_with(|| Instant::now() + replay_delay(&missing, inst.now()));
+            if Instant::now() >= poll_due {
+                missing.iter().for_each(|server| server.request_replayed(inst.now()));
+                poll_at = None;
+            }
+            let _ = timeout_at(deadline.min(poll_due.max(Instant::now() + MIN_REPLAY_POLL)), changed).await;
+        }
+    }
+
+    /// Requests the statuses of the servers that may still be in an earlier term, at most once per [`PRIMARY_POLL_INTERVAL`].
+    fn request_earlier_term_statuses(&self, inst: &Instance) {
+        let since = inst.now().saturating_sub(micros(PRIMARY_POLL_INTERVAL));
+        for server in self.servers().iter().filter(|s| self.may_be_behind(s)) {
+            server.request_status_since(since);
+        }
+    }
+
     /// Waits for a primary that answers and accepts work. Returns `None` at `deadline`.
     pub async fn wait_primary(&self, inst: &Instance, deadline: Instant) -> Option<Rc<Upstream>> {
         if self.primary().is_none() {
--- a/crates/engine/src/group/evidence.rs
+++ b/crates/engine/src/group/evidence.rs
@@ -9,6 +9,7 @@
         upstream::Upstream,
     },
     pondtrack_core::{
+        former_primary::{self, Member},
         primary_claim::ClaimStatus,
         recovery::{Recovery, ReplicaReport},
     },
@@ -38,6 +39,7 @@
     /// Discards the evidence from a server.
     pub(super) fn reset_evidence(&self, server: &Upstream, now: Micros) {
         self.evidence_resets.set(self.evidence_resets.get() + 1);
+        server.replayed.take();
         self.freshness.borrow_mut().reset_server(server.index);
         self.gate.borrow_mut().reset_server(server.index);
         if self.primary.get() == Some(server.index) {
@@ -104,6 +106,34 @@
         self.changed.notify_waiters();
     }
 
+    /// What is known of a server's terms.
+    fn term_member(&self, server: &Upstream) -> Member {
+        let leaders = [self.leader.get(), self.former_leader.get()];
+        let led = leaders.into_iter().flatten().find(|known| known.1 == server.index).map(|known| known.0);
+        Member { term: server.status().map(|known| known.1.term), led }
+    }
+
+    /// Returns true if a server may still be in an earlier term than the group's.
+    pub(super) fn may_be_behind(&self, server: &Upstream) -> bool {
+        self.term_member(server).may_be_behind(self.term.get())
+    }
+
+    /// Returns true if commits may only be acknowledged once reads at a server reflect them.
+    fn must_replay(&self, server: &Upstream) -> bool {
+        let servers = self.servers();
+        let Some(at) = servers.iter().position(|s| s.index == server.index) else { return false };
+        let members: Vec<Member> = servers.iter().map(|s| self.term_member(s)).collect();
+        former_primary::must_replay(self.term.get(), &members, at)
+    }
+
+    /// Returns the servers whose reads have to reflect `position` before it is acknowledged, and aren't known to.
+    pub(super) fn servers_without(&self, position: LogPosition) -> Vec<Rc<Upstream>> {
+        let mut servers = self.servers();
+        // A process that has ended serves no reads.
+        servers.retain(|s| s.replayed.get() < position && s.refused_since().is_none() && self.must_replay(s));
+        servers
+    }
+
     /// Handles a log that is shorter than it was in the same term, or shorter than the log of one of its own replicas.
     ///
     /// The server counts as having lost everything it held before, even if its directory entry shows no restart.
@@ -217,7 +247,10 @@
     }
 
     pub(super) fn set_primary(&self, index: usize, now: Micros) {
-        self.leader.set(Some((self.term.get(), index)));
+        let leader = (self.term.get(), index);
+        if let Some(known) = self.leader.replace(Some(leader)).filter(|known| known.0 < leader.0) {
+            self.former_leader.set(Some(known));
+        }
         if self.primary.replace(Some(index)) == Some(index) {
             return;
         }
--- a/crates/engine/src/order.rs
+++ b/crates/engine/src/order.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::{
+        channel::{Channel, ChannelRequest, CommandRef},
         count::Count,
         group::{Group, status_reports},
-        instance::{Instance, micros},
+        instance::{Instance, Micros, micros},
         message::{Request, Response},
         model::{Order, Status},
         organisation::Owner,
@@ -26,6 +27,9 @@
             return;
         }
         let since = up.requested_since.take();
+        if up.replay_wanted.take() && relay_status(&inst, &group, &up).await.is_some() {
+            continue;
+        }
         if status_reports::fetch(&inst, &group, &up, since).await {
             continue;
         }
@@ -95,6 +99,37 @@
     None
 }
 
+/// Obtains the status of a server that this instance doesn't reach, together with the position that the server's reads
+/// reflect: status reports of other instances don't contain that. Returns none if the server has to be asked otherwise.
+async fn relay_status(inst: &Rc<Instance>, group: &Group, up: &Upstream) -> Option<Status> {
+    inst.update_placement(up);
+    if up.is_directly_reachable() {
+        return None;
+    }
+    let deadline = Instant::now() + ORDER_TIMEOUT;
+    let mut channel = Channel::Relayed(up.open_relayed(inst, &Owner::Shared, deadline).await?);
+    let sent = inst.now();
+    up.asked_at.set(sent);
+    let request = ChannelRequest {
+        values: None,
+        named: None,
+        command: CommandRef::Order(&Order::Status, None),
+        rank: None,
+        slow_after: Micros::MAX,
+        stall_timeout: ORDER_TIMEOUT,
+        deadline,
+        progress: None,
+    };
+    let answer = channel.run(inst, request).await.ok()?;
+    let status = inst.adapters.protocol.decode_status(&answer)?;
+    channel.release();
+    if let Some(position) = answer.mark {
+        up.record_replayed(position);
+    }
+    group.observe_status(up, status, sent, inst.now());
+    Some(status)
+}
+
 /// Sends an order over a connection of this instance. If a pooled connection yields no answer, a new connection is
 /// tried: open connections can stop delivering packets for good while new ones work.
 pub async fn send_direct(inst: &Instance, group: &Group, up: &Upstream, order: &Order) -> Option<Status> {
@@ -160,6 +195,9 @@
     up.reachable.set(true);
     up.record_contact(inst.now());
     let status = dialect.decode_status(&answer).ok_or(OrderError::Failed)?;
+    if let Some(position) = answer.mark {
+        up.record_replayed(position);
+    }
     group.observe_status(up, status, sent, inst.now());
     Ok(status)
 }
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -68,6 +68,11 @@
 pub const MIN_REPLICATION_POLL: Duration = Duration::from_millis(2);
 /// Maximum interval for polling such a replica if it falls behind.
 pub const MAX_REPLICATION_POLL: Duration = Duration::from_millis(32);
+/// Minimum interval for polling a server whose reads don't reflect a commit yet. The expected lag of the server's reads is
+/// used if it is longer, as the server is likely to need that time.
+pub const MIN_REPLAY_POLL: Duration = Duration::from_millis(8);
+/// Maximum interval for polling such a server, whatever its lag was before.
+pub const MAX_REPLAY_POLL: Duration = Duration::from_millis(100);
 /// Time without an answer from one replica after which all replicas are queried.
 pub const STATUS_HEDGE_DELAY: Duration = Duration::from_millis(25);
 /// Time without an answer to a statement after which the liveness of the server is checked. Most statements take
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -396,12 +396,13 @@
         }
     }
 
-    /// Delays the answer to a commit until a replica has received the commit. Returns an unknown outcome if that
+    /// Delays the answer to a commit until a replica has received the commit, and no read can miss it. Returns an unknown outcome if that
     /// isn't confirmed before the deadline or the term ends first.
     pub async fn acknowledge_commit(&self, session: &mut Session, group: &Group, answer: Answer) -> Answer {
         let Some(mark) = answer.mark else { return answer };
         let started = Instant::now();
-        let replicated = group.wait_replicated(&self.inst, mark.term, mark.lsn, self.deadline).await;
+        let replicated = group.wait_replicated(&self.inst, mark.term, mark.lsn, self.deadline).await
+            && group.wait_visible(&self.inst, mark, self.deadline).await;
         self.inst.counters.record_replication_wait(started.elapsed());
         if !replicated {
             return unknown_outcome("the commit isn't known to last");
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -20,7 +20,7 @@
         balance::{Average, LagEstimate, LatencyEstimate},
         recovery::Recovery,
     },
-    pondtrack_proto::Name,
+    pondtrack_proto::{LogPosition, Name},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -73,6 +73,10 @@
     pub(crate) entry: RefCell<Rc<Server>>,
     /// Last status, and the time at which it was requested.
     pub(crate) status: Cell<Option<(Micros, Status)>>,
+    /// Log position that reads at the server are known to reflect.
+    pub(crate) replayed: Cell<LogPosition>,
+    /// True if the next status is requested for the position that reads reflect, which status reports don't contain.
+    pub(crate) replay_wanted: Cell<bool>,
     /// Time at which the last status arrived.
     pub(crate) status_at: Cell<Micros>,
     /// Time at which a restart or the loss of the log became known. Statuses requested before it don't count.
@@ -142,6 +146,8 @@
             base_latency: Cell::default(),
             entry: RefCell::new(Rc::new(server)),
             status: Cell::default(),
+            replayed: Cell::default(),
+            replay_wanted: Cell::default(),
             status_at: Cell::default(),
             log_lost_at: Cell::default(),
             recovery: Cell::default(),
@@ -180,6 +186,11 @@
         self.status.get()
     }
 
+    /// Records the log position that the server returned with an answer, which its reads reflect.
+    pub(crate) fn record_replayed(&self, position: LogPosition) {
+        self.replayed.set(self.replayed.get().max(position));
+    }
+
     /// Returns true if the response to a request sent at `sent` shows a shorter log than a response that had arrived before
     /// `sent`, in the same term.
     pub(crate) fn shows_log_loss(&self, status: Status, sent: Micros) -> bool {
@@ -285,6 +296,7 @@
                 self.record_base_latency(run, elapsed);
                 self.adjust_limit(run, elapsed <= run.slow_after);
                 if let Some(position) = answer.mark {
+                    self.record_replayed(position);
                     group.observe_position(self, position, run.sent_at);
                 }
             }
@@ -551,6 +563,12 @@
         self.poll_request.notify_one();
     }
 
+    /// Requests a status together with the position that reads reflect, both as of `since` or later.
+    pub fn request_replayed(&self, since: Micros) {
+        self.replay_wanted.set(true);
+        self.request_status_since(since);
+    }
+
     /// Requests the server's status unless a request was sent at `since` or later.
     pub fn request_status_since(&self, since: Micros) {
         if self.asked_at.get() < since {
