--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -332,6 +332,16 @@
     }
 }
 
+/// Guards against a token that is issued twice because a write of an earlier era, whose revision was assigned again,
+/// replaced the record that contained it.
+#[test]
+fn tokens_are_unique_when_holders_stop_and_the_store_is_restored() {
+    for seed in 0..200 {
+        let events = Events { restores: true, stops: true };
+        assert_eq!(run(seed, Fault::None, events).violation(), None, "seed {seed}");
+    }
+}
+
 #[rstest]
 #[case(Fault::NoEra, RESTORES)]
 #[case(Fault::RecordWithoutEra, RESTORES)]
