--- a/crates/engine/src/failover/attempt.rs
+++ b/crates/engine/src/failover/attempt.rs
@@ -15,13 +15,15 @@
     pondtrack_core::leader::LeaderRecord,
     pondtrack_proto::{LogPosition, Lsn, Name, Term},
     std::{rc::Rc, time::Duration},
-    tokio::time::{Instant, sleep},
+    tokio::time::{Instant, sleep, timeout},
 };
 
 /// Time within which a promoted server must lead; the platform states 300 to 600 ms.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval at which the candidate's status is polled, and delay after a refused promotion order.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
+/// Maximum time for which paused replicas wait until the old primary has stepped down.
+const STEP_DOWN_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of promotion orders per failover.
 const MAX_ORDERS: usize = 3;
 
@@ -264,7 +266,11 @@
         false
     }
 
-    /// Resumes paused replicas, and makes the old primary step down if it is reachable.
+    /// Makes the old primary step down if it is reachable, then resumes paused replicas.
+    ///
+    /// A replica that is resumed and doesn't reach the new primary would receive from the old one again, and confirm commits
+    /// that are lost when it follows the new one. An old primary that doesn't answer delays the replicas by
+    /// [`STEP_DOWN_TIMEOUT`] only, because the new primary can't acknowledge commits without them.
     async fn clean_up(&self, others: &[Rc<Upstream>], old: Option<&Upstream>, candidate: &Upstream) {
         let rest: Vec<&Rc<Upstream>> = others.iter().filter(|s| s.index != candidate.index).collect();
         let term = self.group.term();
@@ -274,7 +280,11 @@
                 self.send(old, Order::StepDown(term)).await;
             }
         };
-        tokio::join!(self.resume(&rest), step_down);
+        tokio::pin!(step_down);
+        match timeout(STEP_DOWN_TIMEOUT, &mut step_down).await {
+            Ok(()) => self.resume(&rest).await,
+            Err(_) => drop(tokio::join!(self.resume(&rest), step_down)),
+        }
     }
 
     async fn resume(&self, servers: &[&Rc<Upstream>]) {
