--- a/crates/pondtrackd/tests/soak.rs
+++ b/crates/pondtrackd/tests/soak.rs
@@ -18,6 +18,9 @@
 #[path = "soak/organisations.rs"]
 mod organisations;
 
+#[path = "soak/planned_changes.rs"]
+mod planned_changes;
+
 use {
     config_changes::ConfigChanges,
     organisations::KeySchedule,
@@ -156,6 +159,7 @@
     let end = Instant::now() + FAULT_PERIOD;
     let extra = tokio::task::spawn_local(extra_faults(world.clone(), end));
     let losses = tokio::task::spawn_local(data_loss::inject(world.clone(), end));
+    let planned = tokio::task::spawn_local(planned_changes::inject(world.clone(), end));
     let changer = world.clone();
     let changes = tokio::task::spawn_local(async move { config_changes::run(&changer, end).await });
     let restores = tokio::task::spawn_local(store_restores(world.clone(), end));
@@ -167,6 +171,7 @@
     }
     extra.await.expect("faults don't fail");
     losses.await.expect("faults don't fail");
+    planned.await.expect("planned changes don't fail");
     changes.await.expect("changes don't fail");
     restores.await.expect("restores don't fail");
     watches.await.expect("no configuration reverts");
