--- a/crates/core/src/former_primary.rs
+++ b/crates/core/src/former_primary.rs
@@ -34,18 +34,19 @@
 }
 
 /// Returns true if a commit of `term`, the newest term of a group, may only be acknowledged once reads at a server
-/// reflect it. `server` is an index into `members`.
+/// reflect it: the server may have led an earlier term, which another one may confirm. `server` is an index into
+/// `members`.
 pub fn must_replay(term: Term, members: &[Member], server: usize) -> bool {
     let confirming = |m: &&Member| m.may_confirm_earlier(term);
     // If all of these are in the preceding term at least, they only confirm that term, whose leader is known.
     let in_preceding = |m: &Member| m.term.is_some_and(|known| known.0 + 1 == term.0);
     let former_known =
         members.iter().any(|m| m.led_preceding(term)) && members.iter().filter(confirming).all(in_preceding);
-    let may_be_read = match members[server].led {
+    let may_have_led = match members[server].led {
         Some(led) if led == term => false,
         _ if former_known => members[server].led_preceding(term),
         _ => true,
     };
-    let others = members.iter().enumerate().filter(|m| m.0 != server).map(|m| m.1);
-    may_be_read && others.filter(confirming).count() > 0
+    let mut others = members.iter().enumerate().filter(|m| m.0 != server);
+    may_have_led && others.any(|m| m.1.may_confirm_earlier(term))
 }
--- a/crates/engine/src/group.rs
+++ b/crates/engine/src/group.rs
@@ -42,12 +42,6 @@
 /// Number of replicas that have to confirm a term or to have received a commit.
 const REPLICAS: usize = 1;
 
-/// Returns the time after which reads at all of these servers are likely to reflect what the servers have received.
-fn replay_delay(servers: &[Rc<Upstream>], now: Micros) -> Duration {
-    let lag = servers.iter().map(|server| server.lag.get().get(now)).max().unwrap_or_default();
-    Duration::from_micros(lag).clamp(MIN_REPLAY_POLL, MAX_REPLAY_POLL)
-}
-
 /// A group of servers.
 pub struct Group {
     /// Name of the group.
@@ -312,7 +306,7 @@
         let mut poll_at = None;
         loop {
             let changed = self.changed.notified();
-            let missing = self.servers_without(position);
+            let missing = self.servers_to_replay(position);
             match () {
                 () if self.term.get() != position.term => return false,
                 () if missing.is_empty() => return true,
@@ -358,3 +352,9 @@
         }
     }
 }
+
+/// Returns the time after which reads at all of these servers are likely to reflect what the servers have received.
+fn replay_delay(servers: &[Rc<Upstream>], now: Micros) -> Duration {
+    let lag = servers.iter().map(|server| server.lag.get().get(now)).max().unwrap_or_default();
+    Duration::from_micros(lag).clamp(MIN_REPLAY_POLL, MAX_REPLAY_POLL)
+}
--- a/crates/engine/src/group/evidence.rs
+++ b/crates/engine/src/group/evidence.rs
@@ -126,8 +126,8 @@
         former_primary::must_replay(self.term.get(), &members, at)
     }
 
-    /// Returns the servers whose reads have to reflect `position` before it is acknowledged, and aren't known to.
-    pub(super) fn servers_without(&self, position: LogPosition) -> Vec<Rc<Upstream>> {
+    /// Returns the servers whose reads have to reflect the commit at `position` before it is acknowledged, and aren't known to.
+    pub(super) fn servers_to_replay(&self, position: LogPosition) -> Vec<Rc<Upstream>> {
         let mut servers = self.servers();
         // A process that has ended serves no reads.
         servers.retain(|s| s.replayed.get() < position && s.refused_since().is_none() && self.must_replay(s));
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -396,19 +396,22 @@
         }
     }
 
-    /// Delays the answer to a commit until a replica has received the commit, and no read can miss it. Returns an unknown outcome if that
-    /// isn't confirmed before the deadline or the term ends first.
+    /// Delays the answer to a commit until a replica has received the commit, and it is visible wherever a former primary may
+    /// be read from. Returns an unknown outcome if that isn't confirmed before the deadline or the term ends first.
     pub async fn acknowledge_commit(&self, session: &mut Session, group: &Group, answer: Answer) -> Answer {
         let Some(mark) = answer.mark else { return answer };
         let started = Instant::now();
-        let replicated = group.wait_replicated(&self.inst, mark.term, mark.lsn, self.deadline).await
-            && group.wait_visible(&self.inst, mark, self.deadline).await;
+        let replicated = group.wait_replicated(&self.inst, mark.term, mark.lsn, self.deadline).await;
+        let visible = replicated && group.wait_visible(&self.inst, mark, self.deadline).await;
         self.inst.counters.record_replication_wait(started.elapsed());
-        if !replicated {
-            return unknown_outcome("the commit isn't known to last");
+        match (replicated, visible) {
+            (false, _) => unknown_outcome("the commit isn't known to last"),
+            (true, false) => unknown_outcome("the commit isn't known to be visible at a former primary"),
+            (true, true) => {
+                session.mark = Some((mark, self.inst.now()));
+                answer
+            }
         }
-        session.mark = Some((mark, self.inst.now()));
-        answer
     }
 
     /// Waits before a retry, up to the statement's deadline.
