--- a/review/standin-2/src/drain.rs
+++ b/review/standin-2/src/drain.rs
@@ -17,7 +17,7 @@
 /// How long the order to promote turns one of the three machines away.
 const REFUSED: f64 = 9.0;
 /// From the acknowledgement of `draining` to the restart's SIGTERM. The process needs 2.3 s to end and 0.3 s to start.
-const RESTART: f64 = 1.2;
+const RESTART: f64 = 0.9;
 /// From the acknowledgement of `draining` to the server's end.
 const END: f64 = 8.15;
 
