--- a/review/standin-2/src/machine.rs
+++ b/review/standin-2/src/machine.rs
@@ -10,7 +10,7 @@
         process::{Child, Command, Stdio},
         sync::{
             Arc, Mutex,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU32, Ordering},
         },
         thread,
         time::Duration,
@@ -218,10 +218,20 @@
     }
 }
 
-/// Three free ports. They were bound at the same time, so they differ.
+/// Three free ports, below those that the system gives to outgoing connections, so that no connection takes one before
+/// the program binds it. Each run begins at another one.
 fn free_ports() -> [u16; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind(("127.0.0.1", 0)).expect("a free port"));
-    listeners.map(|l| l.local_addr().expect("bound").port())
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(97);
+    [(); 3].map(|()| {
+        loop {
+            let n = first.wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst));
+            let port = 20_000 + (n % 12_000) as u16;
+            if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+                return port;
+            }
+        }
+    })
 }
 
 /// A statement that a client sent.
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -254,3 +254,9 @@
         },
     })
 }
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
