--- a/review/standin-2/src/fence.rs
+++ b/review/standin-2/src/fence.rs
@@ -14,6 +14,10 @@
 const FREEZE: f64 = 4.0;
 /// How long before the end of the freeze the path to the platform is back.
 const PATH_FIRST: f64 = 0.1;
+/// The longest wait for a new primary after the first crash, whose server is back 3 s after that.
+const NEW_PRIMARY: f64 = 3.5;
+/// The longest wait for the order, so that the path is away for less than 5.5 s.
+const ORDER: f64 = 1.2;
 /// How long a crashed primary is away.
 const AWAY: f64 = 6.5;
 
@@ -32,7 +36,7 @@
         let leader = world.group.leader();
         leader != first && world.group.servers()[leader].up
     };
-    if !world.wait(5.0, is_new) {
+    if !world.wait(NEW_PRIMARY, is_new) {
         return Verdict::NotRun("no primary after the first crash".to_owned());
     }
     world.sleep(3.0);
@@ -49,7 +53,7 @@
         let name = &world.machines[holder].name;
         world.record.line(format!("{name} loses its path to the platform"));
         world.paths[holder].iter().for_each(|path| path.hold(true));
-        if !world.wait(3.0, || world.paths[holder][1].held_bytes() > 0) {
+        if !world.wait(ORDER, || world.paths[holder][1].held_bytes() > 0) {
             world.end();
             return Verdict::NotRun("no order was under way".to_owned());
         }
