--- a/crates/engine/src/count.rs
+++ b/crates/engine/src/count.rs
@@ -78,6 +78,8 @@
     FetchesFailed,
     /// Bytes of the configuration, the directory and the members sent to other instances.
     SpreadBytes,
+    /// Heartbeats of watchers that aren't in the list of live instances.
+    UnknownHeartbeats,
     /// Servers restarted under the same id.
     Restarts,
     /// Undecodable objects in the store.
--- a/crates/engine/src/distribution.rs
+++ b/crates/engine/src/distribution.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        count::Count,
         fetch::fetch,
         instance::{Instance, Micros, micros},
         message::{Heartbeat, Message},
@@ -63,6 +64,8 @@
     pending: RefCell<Option<(Rc<Peer>, Heartbeat)>>,
     /// Time of the last fetch of the member list.
     members_checked: Cell<Micros>,
+    /// Name of the unknown instance whose heartbeat was last logged.
+    last_unknown: RefCell<Name>,
 }
 
 impl Distribution {
@@ -119,6 +122,14 @@
         }
     }
 
+    /// Records a heartbeat of an instance that isn't in the list of live instances.
+    fn record_unknown(&self, inst: &Instance, from: &Name) {
+        inst.counters.increment(Count::UnknownHeartbeats);
+        if self.last_unknown.replace(from.clone()) != *from {
+            log::info!(from = from.as_str(); "heartbeat of an unknown instance");
+        }
+    }
+
     fn has_newer_config(&self, inst: &Instance, heartbeat: &Heartbeat) -> bool {
         inst.config().is_none_or(|c| c.version < heartbeat.version)
     }
@@ -188,7 +199,9 @@
     if heartbeat.watching {
         distribution.last_heartbeat.set(now);
     }
-    let Some(peer) = inst.peer(&heartbeat.from) else { return };
+    let Some(peer) = inst.peer(&heartbeat.from) else {
+        return distribution.record_unknown(&inst, &heartbeat.from);
+    };
     peer.set_can_watch(heartbeat.watching, now);
     let is_local = peer.zone == inst.settings.zone;
     if is_local && heartbeat.watching {
--- a/crates/engine/src/watcher.rs
+++ b/crates/engine/src/watcher.rs
@@ -48,9 +48,15 @@
     let mut failures = 0;
     // Revision after which to watch for changes; none if the whole collection has to be read.
     let mut since: Option<Revision> = None;
+    let mut watching = false;
     loop {
+        let must_watch = inst.distribution.must_watch(&inst);
+        if std::mem::replace(&mut watching, must_watch) != must_watch && collection == Collection::Config {
+            let preferred = inst.distribution.is_watcher(&inst);
+            log::info!(watching, preferred; "store watch switched");
+        }
         // Reads the whole collection at the start in any case.
-        if !inst.distribution.must_watch(&inst) && inst.revision(collection).is_some() {
+        if !must_watch && inst.revision(collection).is_some() {
             since = None;
             sleep(CHECK_INTERVAL).await;
             continue;
