Heartbeats of unknown watchers don't keep an instance from watching the store

Cause: `on_heartbeat` recorded the time of every watcher's heartbeat before it looked for the sender in the list of live instances, and dropped the rest if the sender wasn't there. An instance whose known watchers are gone and that hears new ones neither fetches from them, nor watches the store, nor reads the member list, which only a known watcher tells of.

Change: only a known sender's heartbeat counts. Where known watchers were heard and are overdue, an unknown watcher's heartbeat makes the instance read the member list from the store, once in 3 s at most and spread over 0.2 s, and is then handled. The list is read fresh, as a stale one may lack the newcomer. While a known watcher is heard there are no further calls.

Why it works: what ends the fallback is now the same as what brings news.

--- a/crates/engine/src/distribution.rs
+++ b/crates/engine/src/distribution.rs
@@ -4,6 +4,9 @@
 //! regularly announce their versions to all other instances, and an instance with an older version fetches the
 //! newer one from them. A watcher whose calls are refused by the store announces that, and the next instance of
 //! its zone starts to watch. An instance that receives no heartbeat watches the store itself.
+//!
+//! Only heartbeats of known instances count: those in the list of live instances. Nothing can be fetched from an
+//! unknown watcher, which the watchers known before would announce. If these are gone, the list is read from the store.
 
 use {
     crate::{
@@ -42,6 +45,11 @@
 const SEED_POLL_INTERVAL: Duration = Duration::from_millis(400);
 /// Minimum interval between fetches of the member list. Watchers detect a change within about the same time.
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(3_000);
+/// Time since the last heartbeat of a known watcher, as a fraction of the same time, from which on an unknown watcher
+/// causes a read of the member list: longer than the heartbeat interval.
+const DISCOVERY_FRACTION: f64 = 0.35;
+/// Maximum random delay of this read, in milliseconds. A new watcher's heartbeat reaches all instances at once.
+const MAX_DISCOVERY_DELAY: u64 = 200;
 /// Bootstrap time of a new fleet, within which instances discover one another: by their second poll of the
 /// instance entries.
 const BOOTSTRAP_TIME: Duration = Duration::from_millis(1_600);
@@ -53,7 +61,11 @@
 pub struct Distribution {
     /// Notified when there is a new version to announce.
     pub changed: Notify,
-    /// Time of the last heartbeat of a working watcher.
+    /// Notified when the member list has to be read from the store.
+    pub members_requested: Notify,
+    /// Notified after the member list was read from the store.
+    pub members_read: Notify,
+    /// Time of the last heartbeat of a working watcher that is known.
     last_heartbeat: Cell<Micros>,
     /// Time of the last heartbeat of a working watcher in the own availability zone.
     last_local_heartbeat: Cell<Micros>,
@@ -64,8 +76,8 @@
     pending: RefCell<Option<(Rc<Peer>, Heartbeat)>>,
     /// Time of the last fetch of the member list.
     members_checked: Cell<Micros>,
-    /// Name of the unknown instance whose heartbeat was last logged.
-    last_unknown: RefCell<Name>,
+    /// Time of the last request to read the member list because of an unknown watcher.
+    discovered_at: Cell<Micros>,
 }
 
 impl Distribution {
@@ -105,6 +117,16 @@
         });
     }
 
+    /// Records a heartbeat of a known watcher whose calls of the store succeed.
+    fn record_heartbeat(&self, is_local: bool, received: Micros) {
+        // A heartbeat that waited for the member list may be handled after later ones.
+        let advance = |last: &Cell<Micros>| last.set(last.get().max(received));
+        advance(&self.last_heartbeat);
+        if is_local {
+            advance(&self.last_local_heartbeat);
+        }
+    }
+
     /// Returns true if the own availability zone has a working watcher.
     fn has_local_watcher(&self, inst: &Instance) -> bool {
         let elapsed = inst.now().saturating_sub(self.last_local_heartbeat.get());
@@ -122,12 +144,15 @@
         }
     }
 
-    /// Records a heartbeat of an instance that isn't in the list of live instances.
-    fn record_unknown(&self, inst: &Instance, from: &Name) {
-        inst.counters.increment(Count::UnknownHeartbeats);
-        if self.last_unknown.replace(from.clone()) != *from {
-            log::info!(from = from.as_str(); "heartbeat of an unknown instance");
-        }
+    /// Returns true if the member list has to be read because of an unknown watcher: known watchers, which would tell of
+    /// it, were heard before and have fallen silent.
+    fn should_discover(&self, inst: &Instance) -> bool {
+        let now = inst.now();
+        let elapsed = |since: &Cell<Micros>| now.saturating_sub(since.get());
+        let silent =
+            elapsed(&self.last_heartbeat) >= micros(inst.bounds.get().apply.mul_f64(DISCOVERY_FRACTION));
+        let due = self.discovered_at.get() == 0 || elapsed(&self.discovered_at) >= micros(MEMBERS_INTERVAL);
+        self.last_heartbeat.get() > 0 && silent && due
     }
 
     fn has_newer_config(&self, inst: &Instance, heartbeat: &Heartbeat) -> bool {
@@ -191,21 +216,37 @@
     }
 }
 
+/// Returns the sender of a heartbeat; none if it is unknown. If no known watcher is heard any longer, the member list is
+/// read from the store first.
+async fn sender(inst: &Rc<Instance>, heartbeat: &Heartbeat) -> Option<Rc<Peer>> {
+    let peer = inst.peer(&heartbeat.from);
+    if peer.is_some() {
+        return peer;
+    }
+    let distribution = &inst.distribution;
+    inst.counters.increment(Count::UnknownHeartbeats);
+    if !heartbeat.watching || !distribution.should_discover(inst) {
+        return None;
+    }
+    distribution.discovered_at.set(inst.now());
+    log::info!(from = heartbeat.from.as_str(); "unknown watcher");
+    sleep(Duration::from_millis(inst.random(MAX_DISCOVERY_DELAY))).await;
+    let read = distribution.members_read.notified();
+    distribution.members_requested.notify_one();
+    timeout(inst.bounds.get().apply, read).await.ok()?;
+    inst.peer(&heartbeat.from)
+}
+
 /// Handles a heartbeat of a watcher, and fetches the collections of which it has a newer version.
 pub async fn on_heartbeat(inst: Rc<Instance>, heartbeat: Heartbeat) {
     let distribution = &inst.distribution;
-    let now = inst.now();
+    let received = inst.now();
     inst.observe_era(heartbeat.config.max(heartbeat.directory));
-    if heartbeat.watching {
-        distribution.last_heartbeat.set(now);
-    }
-    let Some(peer) = inst.peer(&heartbeat.from) else {
-        return distribution.record_unknown(&inst, &heartbeat.from);
-    };
-    peer.set_can_watch(heartbeat.watching, now);
+    let Some(peer) = sender(&inst, &heartbeat).await else { return };
+    peer.set_can_watch(heartbeat.watching, received);
     let is_local = peer.zone == inst.settings.zone;
-    if is_local && heartbeat.watching {
-        distribution.last_local_heartbeat.set(now);
+    if heartbeat.watching {
+        distribution.record_heartbeat(is_local, received);
     }
     if !is_local && distribution.has_local_watcher(&inst) && distribution.has_newer(&inst, &heartbeat) {
         sleep(CROSS_ZONE_DELAY).await;
--- a/crates/engine/src/watcher.rs
+++ b/crates/engine/src/watcher.rs
@@ -14,7 +14,7 @@
     pondtrack_core::intervals,
     pondtrack_proto::{Name, Revision},
     std::{rc::Rc, time::Duration},
-    tokio::time::{Instant, sleep},
+    tokio::time::{Instant, sleep, timeout},
 };
 
 /// Minimum backoff after a failed call and its jitter, in milliseconds. The store refuses calls for seconds at
@@ -180,12 +180,13 @@
     group.primary().is_some_and(|s| s.index == index)
 }
 
-/// Registers this instance in the store, renews its entry, and polls the entries of other instances at the start
-/// and while it watches the store; never returns. Otherwise the watchers deliver the list of instances.
+/// Registers this instance in the store, renews its entry, and polls the entries of other instances at the start,
+/// while it watches the store and on request; never returns. Otherwise the watchers deliver the list of instances.
 pub async fn register(inst: Rc<Instance>) {
     let mut entry = Entry::default();
     let mut known: Vec<(Name, Revision, u64)> = Vec::new();
     let mut poll = 0;
+    let mut requested = false;
     let mut era = (None, 0);
     loop {
         // An earlier process of the same name has probably left an entry, which the first poll finds.
@@ -197,10 +198,11 @@
         if inst.era() > era.0 {
             era = (inst.era(), inst.now());
         }
-        if poll < FIRST_POLLS || inst.distribution.must_watch(&inst) {
+        if poll < FIRST_POLLS || requested || inst.distribution.must_watch(&inst) {
             poll += 1;
             inst.counters.increment(Count::StoreCalls);
-            match inst.adapters.store.list(Collection::Instances, true).await {
+            // A stale list may lack the instance that caused the request.
+            match inst.adapters.store.list(Collection::Instances, !requested).await {
                 Ok(objects) => {
                     entry.adopt(&inst, &objects.items);
                     let mut peers = live_peers(&mut known, &objects.items, poll);
@@ -211,12 +213,14 @@
                 }
                 Err(e) => log::debug!("instances: {e}"),
             }
+            inst.distribution.members_read.notify_waiters();
         }
         if defer_write {
             entry.renew(&inst, has_others).await;
         }
         let interval = if poll < FIRST_POLLS { FIRST_POLL_INTERVAL } else { POLL_INTERVAL };
-        sleep(interval + Duration::from_millis(inst.random(500))).await;
+        let interval = interval + Duration::from_millis(inst.random(500));
+        requested = timeout(interval, inst.distribution.members_requested.notified()).await.is_ok();
     }
 }
 
