Heartbeats whose news can't be fetched don't keep an instance from watching the store

The failed fetch is repeated at the next heartbeat, and each of these counted as a sign that the store is watched on its behalf.

Change: after a fetch that left the instance behind, heartbeats that announce something newer don't count, until a fetch succeeds or the instance has read the news from the store.

--- a/crates/engine/src/distribution.rs
+++ b/crates/engine/src/distribution.rs
@@ -5,8 +5,9 @@
 //! newer one from them. A watcher whose calls are refused by the store announces that, and the next instance of
 //! its zone starts to watch. An instance that receives no heartbeat watches the store itself.
 //!
-//! Only heartbeats of known instances count: those in the list of live instances. Nothing can be fetched from an
-//! unknown watcher, which the watchers known before would announce. If these are gone, the list is read from the store.
+//! A heartbeat only counts if the news that it announces can be fetched. Nothing can be fetched from an unknown
+//! instance, one that isn't in the list of live instances. The watchers known before would tell of it; if these are gone,
+//! the list is read from the store.
 
 use {
     crate::{
@@ -65,13 +66,15 @@
     pub members_requested: Notify,
     /// Notified after the member list was read from the store.
     pub members_read: Notify,
-    /// Time of the last heartbeat of a working watcher that is known.
+    /// Time of the last heartbeat of a working watcher that is known and whose news can be fetched.
     last_heartbeat: Cell<Micros>,
     /// Time of the last heartbeat of a working watcher in the own availability zone.
     last_local_heartbeat: Cell<Micros>,
     /// Success of the last call of the store, for the configuration and for the directory.
     call_results: Cell<(bool, bool)>,
     fetching: Cell<bool>,
+    /// True if the last fetch left this instance behind the watcher that it fetched from.
+    fetch_failed: Cell<bool>,
     /// Best heartbeat received during a fetch, with its sender.
     pending: RefCell<Option<(Rc<Peer>, Heartbeat)>>,
     /// Time of the last fetch of the member list.
@@ -245,7 +248,8 @@
     let Some(peer) = sender(&inst, &heartbeat).await else { return };
     peer.set_can_watch(heartbeat.watching, received);
     let is_local = peer.zone == inst.settings.zone;
-    if heartbeat.watching {
+    let is_cut_off = distribution.fetch_failed.get() && distribution.has_newer(&inst, &heartbeat);
+    if heartbeat.watching && !is_cut_off {
         distribution.record_heartbeat(is_local, received);
     }
     if !is_local && distribution.has_local_watcher(&inst) && distribution.has_newer(&inst, &heartbeat) {
@@ -264,6 +268,7 @@
         for collection in collections.into_iter().flatten() {
             fetch(&inst, &peer, collection).await;
         }
+        distribution.fetch_failed.set(distribution.has_newer(&inst, &heartbeat));
         next = distribution.pending.take();
     }
     distribution.fetching.set(false);
