Soak: all watchers of the store end together, and the configuration changes

The soak runs one instance in each availability zone, so that each watches the store for itself and none relies on another. The new test runs nine real processes; in each round the preferred watchers of all zones end, with or without notice, they or others in their place start after a random time, and a change has to be applied by all that run.

--- a/crates/pondtrackd/tests/soak.rs
+++ b/crates/pondtrackd/tests/soak.rs
@@ -3,6 +3,7 @@
 //! statements that servers committed.
 //!
 //! Two seeds run with the other tests. To run more: `SOAK_SEEDS=1..51 cargo test -p pondtrackd --test soak`.
+//! `SOAK_WATCHER_SEEDS=1..51` does the same for the test in which all watchers of the store end together.
 //! `SOAK_INSTANCES=100` starts 100 processes, and `SOAK_CALLERS=200` is more than the stand-ins can serve.
 //! Seeds that failed in the past are listed in `REGRESSIONS`, with the cause.
 
@@ -21,6 +22,9 @@
 #[path = "soak/planned_changes.rs"]
 mod planned_changes;
 
+#[path = "soak/watcher_losses.rs"]
+mod watcher_losses;
+
 use {
     config_changes::ConfigChanges,
     organisations::KeySchedule,
@@ -51,6 +55,8 @@
 
 /// Seeds that run with the other tests.
 const SEEDS: std::ops::Range<u64> = 1..3;
+/// Seeds of [`watcher_losses`] that run with the other tests.
+const WATCHER_SEEDS: &[u64] = &[2];
 /// Seeds that failed in the past; each runs with the other tests.
 ///
 /// 5 and 37: a replica that had received nothing was promoted while another replica, which couldn't be
@@ -128,12 +134,24 @@
 
 #[test]
 fn promises_hold_under_seeded_faults() {
-    let seeds: Vec<u64> = match std::env::var("SOAK_SEEDS") {
+    let default = SEEDS.chain(REGRESSIONS.iter().copied()).collect();
+    run_seeds("SOAK_SEEDS", default, soak);
+}
+
+/// Guards against instances that no longer apply changes after all watchers of the store ended together.
+#[test]
+fn changes_are_applied_while_watchers_end_together() {
+    run_seeds("SOAK_WATCHER_SEEDS", WATCHER_SEEDS.to_vec(), watcher_losses::run);
+}
+
+/// Runs a soak for each seed in an environment variable, or for the default seeds if the variable is unset.
+fn run_seeds<F: Future<Output = ()>>(variable: &str, default: Vec<u64>, soak: impl Fn(u64) -> F) {
+    let seeds: Vec<u64> = match std::env::var(variable) {
         Ok(range) => {
-            let (from, to) = range.split_once("..").expect("SOAK_SEEDS=FROM..TO");
+            let (from, to) = range.split_once("..").expect("FROM..TO");
             (from.parse().expect("a number")..to.parse().expect("a number")).collect()
         }
-        Err(_) => SEEDS.chain(REGRESSIONS.iter().copied()).collect(),
+        Err(_) => default,
     };
     for seed in seeds {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
@@ -193,7 +211,16 @@
 }
 
 impl World {
+    /// Starts the stand-ins and all instances.
     async fn start(seed: u64) -> World {
+        let count = env_or("SOAK_INSTANCES", DEFAULT_INSTANCES);
+        let world = World::prepare("soak", seed, count).await;
+        (0..count).for_each(|at| world.launch(at));
+        world
+    }
+
+    /// Starts the stand-ins and prepares the instances, whose files are in a directory named after the test.
+    async fn prepare(test: &str, seed: u64, count: usize) -> World {
         let store = FakeStore::default();
         let group = group(&store, 20).await;
         group.heals.set(true);
@@ -201,10 +228,9 @@
         let mut config = desired(1, 20);
         config.organisations = Some(keys.next());
         store.set(Collection::Config, "main", Record::Config(config));
-        let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{seed}"));
         fs::create_dir_all(&dir).unwrap();
         let mut instances = Vec::new();
-        let count = env_or("SOAK_INSTANCES", DEFAULT_INSTANCES);
         for n in 0..count {
             let mut links = Vec::new();
             for server in &group.servers {
@@ -237,24 +263,7 @@
         let extra_rng = RefCell::new(Pcg64Mcg::seed_from_u64(!seed));
         let (attempts, stop, reads) = (RefCell::default(), Cell::default(), Cell::default());
         let changes = ConfigChanges::new(seed);
-        let world = World {
-            seed,
-            rng,
-            extra_rng,
-            changes,
-            keys,
-            store,
-            group,
-            instances,
-            attempts,
-            stop,
-            reads,
-            dir,
-        };
-        for at in 0..count {
-            world.launch(at);
-        }
-        world
+        World { seed, rng, extra_rng, changes, keys, store, group, instances, attempts, stop, reads, dir }
     }
 
     fn below(&self, limit: u64) -> u64 {
--- a/crates/pondtrackd/tests/soak/config_changes.rs
+++ b/crates/pondtrackd/tests/soak/config_changes.rs
@@ -61,8 +61,9 @@
     }
 }
 
-/// Stores a new version of the configuration, with a random number of routes and the given organisations.
-pub fn change_once(world: &World, organisations: Organisations) {
+/// Stores a new version of the configuration, with a random number of routes and the given organisations. Returns the
+/// version.
+pub fn change_once(world: &World, organisations: Organisations) -> u64 {
     let changes = &world.changes;
     let version = changes.version.get() + 1 + changes.below(3);
     let mut config = desired_with(version, MAX_CONNS, ROUTE_STEP * changes.below(4) as usize);
@@ -73,6 +74,7 @@
     config.organisations = Some(organisations);
     changes.version.set(version);
     world.store.set(Collection::Config, "main", Record::Config(config));
+    version
 }
 
 /// Polls random instances for the latest version until `end`. Panics if a process that had applied the
@@ -109,16 +111,18 @@
 pub async fn wait_applied(world: &World) {
     let version = world.changes.version.get();
     for at in 0..world.instances.len() {
-        let poll = async {
-            while has_applied(world, at, version).await != Some(true) {
-                sleep(Duration::from_millis(50)).await;
-            }
-        };
-        let done = timeout(RECOVERY, poll).await;
+        let done = timeout(RECOVERY, wait_version(world, at, version)).await;
         assert!(done.is_ok(), "seed {}: version {version} is not in force at instance {at}", world.seed);
     }
 }
 
+/// Waits until an instance has applied a version.
+pub async fn wait_version(world: &World, at: usize, version: u64) {
+    while has_applied(world, at, version).await != Some(true) {
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Returns true if an instance has applied a version, and none if the instance gave no response.
 async fn has_applied(world: &World, at: usize, version: u64) -> Option<bool> {
     let addr = SocketAddr::from(([127, 0, 0, 1], world.instances[at].ports[0]));
