--- a/crates/engine/src/distribution.rs
+++ b/crates/engine/src/distribution.rs
@@ -219,9 +219,9 @@
     }
 }
 
-/// Returns the sender of a heartbeat; none if it is unknown. If no known watcher is heard any longer, the member list is
+/// Returns the sender of a heartbeat, or none if it isn't a known instance. If no known watcher is heard any longer, the member list is
 /// read from the store first.
-async fn sender(inst: &Rc<Instance>, heartbeat: &Heartbeat) -> Option<Rc<Peer>> {
+async fn known_sender(inst: &Rc<Instance>, heartbeat: &Heartbeat) -> Option<Rc<Peer>> {
     let peer = inst.peer(&heartbeat.from);
     if peer.is_some() {
         return peer;
@@ -245,7 +245,7 @@
     let distribution = &inst.distribution;
     let received = inst.now();
     inst.observe_era(heartbeat.config.max(heartbeat.directory));
-    let Some(peer) = sender(&inst, &heartbeat).await else { return };
+    let Some(peer) = known_sender(&inst, &heartbeat).await else { return };
     peer.set_can_watch(heartbeat.watching, received);
     let is_local = peer.zone == inst.settings.zone;
     let is_cut_off = distribution.fetch_failed.get() && distribution.has_newer(&inst, &heartbeat);
