--- a/crates/engine/src/distribution.rs
+++ b/crates/engine/src/distribution.rs
@@ -46,8 +46,8 @@
 const SEED_POLL_INTERVAL: Duration = Duration::from_millis(400);
 /// Minimum interval between fetches of the member list. Watchers detect a change within about the same time.
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(3_000);
-/// Time since the last heartbeat of a known watcher, as a fraction of the same time, from which on an unknown watcher
-/// causes a read of the member list: longer than the heartbeat interval.
+/// Silence of the known watchers, as a fraction of the same time, after which the heartbeat of an unknown watcher causes
+/// a read of the member list. Longer than the heartbeat interval, so that one late heartbeat doesn't count as silence.
 const DISCOVERY_FRACTION: f64 = 0.35;
 /// Maximum random delay of this read, in milliseconds. A new watcher's heartbeat reaches all instances at once.
 const MAX_DISCOVERY_DELAY: u64 = 200;
@@ -66,7 +66,7 @@
     pub members_requested: Notify,
     /// Notified after the member list was read from the store.
     pub members_read: Notify,
-    /// Time of the last heartbeat of a working watcher that is known and whose news can be fetched.
+    /// Time of the last heartbeat that counted: of a known, working watcher whose news can be fetched.
     last_heartbeat: Cell<Micros>,
     /// Time of the last heartbeat of a working watcher in the own availability zone.
     last_local_heartbeat: Cell<Micros>,
@@ -219,8 +219,9 @@
     }
 }
 
-/// Returns the sender of a heartbeat, or none if it isn't a known instance. If no known watcher is heard any longer, the member list is
-/// read from the store first.
+/// Returns the sender of a heartbeat, or none if it isn't a known instance.
+///
+/// If the known watchers have fallen silent, the member list is read from the store before the sender is looked up again.
 async fn known_sender(inst: &Rc<Instance>, heartbeat: &Heartbeat) -> Option<Rc<Peer>> {
     let peer = inst.peer(&heartbeat.from);
     if peer.is_some() {
--- a/crates/pondtrackd/tests/soak/watcher_losses.rs
+++ b/crates/pondtrackd/tests/soak/watcher_losses.rs
@@ -19,10 +19,10 @@
 const ROUNDS: usize = 4;
 /// Salt that separates the random numbers of the rounds from those of the changes.
 const SALT: u64 = 0xd1b5_4a32_d192_ed03;
-/// Maximum time from the end of the watchers until others start. The remaining instances notice the end within two
+/// Maximum time from the end of the watchers until others start, in milliseconds. The remaining instances notice the end within two
 /// seconds, and read the instance entries each three seconds.
 const MAX_PAUSE: u64 = 6_000;
-/// Maximum time from the start of the others until the configuration changes.
+/// Maximum time from the start of the others until the configuration changes, in milliseconds.
 const MAX_DELAY: u64 = 4_000;
 
 /// Runs the rounds of a seed.
@@ -41,6 +41,7 @@
         sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE))).await;
         let replace = rng.random_bool(0.5);
         for at in watchers {
+            // Spare instances are taken even if they aren't started, which keeps them in the order of the zones.
             let next = spare.pop().filter(|_| replace).unwrap_or(at);
             world.launch(next);
         }
